--- /dev/null
+++ b/internal/agent/links.go
@@ -0,0 +1,361 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// Delays of the sessions to entries.
+const (
+	redialMin     = 100 * time.Millisecond
+	redialMax     = 5 * time.Second
+	dialRound     = 200 * time.Millisecond
+	silenceLimit  = 3 * time.Second
+	reportMinimum = 20 * time.Millisecond
+)
+
+// link is a session to one entry.
+type link struct {
+	id         string
+	dataCentre string
+	// revision is the configuration revision that the entry is known to have.
+	revision uint64
+	// owner tells that the entry owns this worker's cell.
+	owner bool
+}
+
+// goSessions keeps a session to each entry until ctx ends, and then closes the returned
+// channel once all have ended.
+func (a *Agent) goSessions(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wait sync.WaitGroup
+		defer wait.Wait()
+		dialling := map[string]chan struct{}{}
+		for ctx.Err() == nil {
+			for _, address := range a.addresses() {
+				if running, ok := dialling[address]; ok && !closed(running) {
+					continue
+				}
+				end := make(chan struct{})
+				dialling[address] = end
+				wait.Go(func() {
+					defer close(end)
+					a.keepSession(ctx, address)
+				})
+			}
+			pause(ctx, dialRound)
+		}
+	}()
+	return done
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// addresses lists the entries to dial: those of this data centre, and while there is no
+// session to any of them, all that are known.
+func (a *Agent) addresses() (addresses []string) {
+	_ = a.loop.Do(func() {
+		local := false
+		for _, l := range a.control.links {
+			local = local || l.dataCentre == a.options.DataCentre
+		}
+		known := map[string]bool{}
+		for _, e := range a.control.entries {
+			if e.GetDataCentre() == a.options.DataCentre || !local {
+				known[e.GetAddress()] = true
+				addresses = append(addresses, e.GetAddress())
+			}
+		}
+		for _, address := range a.options.Entries {
+			if !known[address] && (len(a.control.links) == 0 || len(a.control.entries) == 0) {
+				addresses = append(addresses, address)
+			}
+		}
+	})
+	return addresses
+}
+
+// keepSession dials an address, serves the session and waits before it may be dialled again.
+func (a *Agent) keepSession(ctx context.Context, address string) {
+	for delay := redialMin; ctx.Err() == nil; delay = min(2*delay, redialMax) {
+		began := time.Now()
+		err := a.session(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		a.log.Info("session ended", "address", address, "error", errorText(err))
+		pause(ctx, time.Duration(rand.Int64N(int64(delay)))+redialMin/2)
+		if time.Since(began) > silenceLimit || !a.wanted(address) {
+			return
+		}
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (a *Agent) wanted(address string) bool {
+	for _, other := range a.addresses() {
+		if other == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) hello() *peerpb.Hello {
+	h := &peerpb.Hello{
+		Version: peer.Version, Id: a.options.ID, Role: peer.RoleAgent, Incarnation: a.incarnation,
+		DataCentre: a.options.DataCentre, Rack: a.options.Rack,
+	}
+	_ = a.loop.Do(func() { h.Capacity = toProto(a.control.ledger.Capacity()) })
+	return h
+}
+
+// session serves one session until it breaks or falls silent.
+func (a *Agent) session(ctx context.Context, address string) error {
+	s, control, welcome, err := peer.Dial(ctx, address, a.hello())
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	l := &link{id: welcome.GetId(), dataCentre: welcome.GetDataCentre()}
+	if !a.addLink(l, welcome) {
+		return nil
+	}
+	defer a.removeLink(l)
+	a.log.Info("session opened", "address", address, "entry", l.id)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	streams := a.goStreams(ctx, s)
+	err = a.heartbeat(ctx, s, control, l)
+	s.Close()
+	cancel()
+	<-streams
+	return err
+}
+
+// addLink records a session, unless there is one to the same entry already.
+func (a *Agent) addLink(l *link, welcome *peerpb.Welcome) (added bool) {
+	_ = a.loop.Do(func() {
+		a.learn(welcome.GetEntries())
+		if a.control.links[l.id] == nil {
+			a.control.links[l.id] = l
+			added = true
+		}
+	})
+	return added
+}
+
+func (a *Agent) removeLink(l *link) {
+	_ = a.loop.Do(func() {
+		if a.control.links[l.id] == l {
+			delete(a.control.links, l.id)
+		}
+	})
+}
+
+// learn replaces the known entries by a newer list; it runs on the loop.
+func (a *Agent) learn(entries []*peerpb.EntryAddress) {
+	if len(entries) == 0 {
+		return
+	}
+	a.control.entries = make(map[string]*peerpb.EntryAddress, len(entries))
+	for _, e := range entries {
+		a.control.entries[e.GetId()] = e
+	}
+}
+
+// heartbeat reports at an interval and at once when the state has changed, and takes in
+// the entry's answers.
+func (a *Agent) heartbeat(ctx context.Context, s *peer.Session, control *peer.Stream, l *link) error {
+	sent := &sentTimes{times: map[uint64]time.Time{}}
+	failed := make(chan error, 1)
+	go func() { failed <- a.receiveUpdates(ctx, control, l, sent) }()
+	defer func() {
+		s.Close()
+		<-failed
+	}()
+	for sequence := uint64(1); ; sequence++ {
+		var report *peerpb.Report
+		var changed chan struct{}
+		if err := a.loop.Do(func() { report, changed = a.report(sequence, l), a.control.changed }); err != nil {
+			return err
+		}
+		sent.put(sequence, time.Now())
+		control.SetDeadline(time.Now().Add(silenceLimit))
+		if err := control.Send(peer.ReportFrame(report)); err != nil {
+			return err
+		}
+		pause(ctx, reportMinimum)
+		timer := time.NewTimer(a.options.Heartbeat)
+		select {
+		case <-timer.C:
+		case <-changed:
+		case err := <-failed:
+			failed <- err
+			timer.Stop()
+			return err
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// sentTimes remembers when reports were sent, so that a grant is counted from then.
+type sentTimes struct {
+	mu    sync.Mutex
+	times map[uint64]time.Time
+}
+
+func (s *sentTimes) put(sequence uint64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times[sequence] = at
+}
+
+func (s *sentTimes) take(sequence uint64) (at time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok = s.times[sequence]
+	for n := range s.times {
+		if n <= sequence {
+			delete(s.times, n)
+		}
+	}
+	return at, ok
+}
+
+func (a *Agent) receiveUpdates(ctx context.Context, control *peer.Stream, l *link, sent *sentTimes) error {
+	for {
+		f, err := control.Receive()
+		if err != nil {
+			return err
+		}
+		u := f.GetUpdate()
+		if u == nil {
+			return peer.ErrProtocol
+		}
+		at, ok := sent.take(u.GetSequence())
+		if !ok {
+			return peer.ErrProtocol
+		}
+		accepted := false
+		_ = a.loop.Do(func() { accepted = a.update(u, l, at) })
+		if accepted {
+			a.settle(ctx, u.GetSettled())
+			a.throttle(ctx, u.GetThrottled())
+		}
+	}
+}
+
+// update takes in an entry's answer to a report and reports whether it speaks for the
+// cell's owner; it runs on the loop.
+func (a *Agent) update(u *peerpb.Update, l *link, sent time.Time) bool {
+	c := &a.control
+	a.learn(u.GetEntries())
+	l.revision = u.GetRevision()
+	if u.GetSlice().GetRevision() > c.slice.GetRevision() {
+		if len(u.GetSlice().GetDocument()) == 0 && u.GetSlice().GetEnvironment() == c.slice.GetEnvironment() {
+			a.log.Info("configuration changed", "revision", u.GetSlice().GetRevision())
+		}
+		c.slice = u.GetSlice()
+		a.signal()
+	}
+	l.owner = false
+	if u.GetCell() == "" || a.options.Worker == nil {
+		return false
+	}
+	if !c.grant.accepts(u) {
+		a.log.Warn("grant refused: stale epoch", "entry", l.id, "epoch", u.GetEpoch(), "term", u.GetTerm(), "known-epoch", c.grant.epoch)
+		return false
+	}
+	if u.GetCell() != c.grant.cell && c.grant.cell != "" && c.ledger.Holders() > 0 {
+		a.log.Warn("grant refused: attempts of another cell", "cell", u.GetCell(), "held", c.grant.cell)
+		return false
+	}
+	wasTerm, wasEpoch := c.grant.term, c.grant.epoch
+	c.grant.renew(u, sent)
+	l.owner = true
+	if wasTerm != c.grant.term || wasEpoch != c.grant.epoch {
+		a.log.Info("grant of a new owner", "entry", l.id, "cell", u.GetCell(), "epoch", u.GetEpoch(), "term", u.GetTerm())
+		a.signal()
+	}
+	return true
+}
+
+// goStreams serves the streams that the entry opens until the session ends, and then
+// closes the returned channel.
+func (a *Agent) goStreams(ctx context.Context, s *peer.Session) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wait sync.WaitGroup
+		defer wait.Wait()
+		for {
+			stream, err := s.Next()
+			if err != nil {
+				return
+			}
+			wait.Go(func() { a.serveStream(ctx, stream) })
+		}
+	}()
+	return done
+}
+
+func (a *Agent) serveStream(ctx context.Context, stream *peer.Stream) {
+	stream.SetDeadline(time.Now().Add(silenceLimit))
+	f, err := stream.Receive()
+	if err != nil {
+		stream.Close()
+		return
+	}
+	stream.SetDeadline(time.Time{})
+	switch b := f.GetBody().(type) {
+	case *peerpb.Frame_RequestHead:
+		a.serveRequest(ctx, stream, b.RequestHead)
+	case *peerpb.Frame_Lookup:
+		a.serveLookup(ctx, stream, b.Lookup)
+	case *peerpb.Frame_Cancel:
+		a.serveCancel(stream, b.Cancel)
+	case *peerpb.Frame_StartTask:
+		a.serveStart(ctx, stream, b.StartTask)
+	case *peerpb.Frame_StopTask:
+		a.serveStop(ctx, stream, b.StopTask)
+	case *peerpb.Frame_Drain:
+		a.log.Info("drain asked for by an operator", "in-flight", a.startDrain())
+		_ = stream.Send(peer.TaskReplyFrame(&peerpb.TaskReply{Accepted: true}))
+	default:
+		a.log.Warn("unexpected frame on a new stream")
+	}
+	stream.Close()
+}
--- /dev/null
+++ b/internal/agent/report.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+func upstreamState(now time.Time, u *upstream, draining bool) *peerpb.UpstreamState {
+	return &peerpb.UpstreamState{
+		Service:       u.service,
+		Slots:         int32(u.gate.Slots()),
+		InFlight:      int32(u.gate.InFlight()),
+		Queued:        int32(u.gate.Queued()),
+		Draining:      draining || u.gate.Draining(),
+		Ready:         u.gate.Ready(now),
+		LatencyMicros: u.gate.Latency().Microseconds(),
+	}
+}
+
+// report builds a heartbeat for one entry; it runs on the loop. Task states go to the
+// cell's owner alone, as the others have no use for them.
+func (a *Agent) report(sequence uint64, l *link) *peerpb.Report {
+	now := time.Now()
+	c := &a.control
+	r := &peerpb.Report{
+		Sequence: sequence, Cell: c.grant.cell, Epoch: c.grant.epoch, Term: c.grant.term,
+		Draining: c.draining, Revision: c.slice.GetRevision(), Rebuilding: c.rebuilding,
+	}
+	for _, u := range c.upstreams {
+		if u.gate.Present(now) {
+			r.Upstreams = append(r.Upstreams, upstreamState(now, u, c.draining))
+		}
+	}
+	if c.slice.GetRevision() > l.revision && len(c.slice.GetDocument()) > 0 {
+		r.Known = c.slice
+	}
+	if a.options.Worker == nil || c.rebuilding {
+		return r
+	}
+	r.Capacity = toProto(c.ledger.Capacity())
+	if !l.owner && sequence > 1 {
+		return r
+	}
+	r.Free = toProto(c.ledger.Free())
+	for _, t := range c.attempts {
+		r.Tasks = append(r.Tasks, t.state())
+	}
+	slices.SortFunc(r.Tasks, func(x, y *peerpb.TaskState) int { return strings.Compare(x.GetTask(), y.GetTask()) })
+	r.Pressures = a.pressures(now)
+	return r
+}
+
+// pressures lists the kinds of request whose latency is known and has a target.
+func (a *Agent) pressures(now time.Time) (pressures []*peerpb.Pressure) {
+	for _, k := range a.control.slice.GetKinds() {
+		for _, u := range a.control.upstreams {
+			if u.service != k.GetService() {
+				continue
+			}
+			p99, count := u.window.quantile(now, k.GetKind())
+			if count >= windowMinimum {
+				pressures = append(pressures, &peerpb.Pressure{Kind: k.GetKind(), P99Micros: p99.Microseconds(), TargetMicros: k.GetTargetMicros()})
+			}
+		}
+	}
+	return pressures
+}
--- /dev/null
+++ b/internal/agent/requests.go
@@ -0,0 +1,308 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/fence"
+	"github.com/jasminebay/jasminebay/internal/gate"
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// bodyTimeout bounds how long an entry may take to send a request's body.
+const bodyTimeout = 30 * time.Second
+
+// request is one request while this agent has it.
+type request struct {
+	head     *peerpb.RequestHead
+	body     []byte
+	deadline time.Time
+	stream   *peer.Stream
+	upstream *upstream
+	verdict  chan gate.Verdict
+	fenced   bool
+}
+
+// serveRequest runs one request and answers on its stream.
+func (a *Agent) serveRequest(ctx context.Context, stream *peer.Stream, head *peerpb.RequestHead) {
+	r := &request{
+		head:     head,
+		stream:   stream,
+		deadline: time.Now().Add(time.Duration(head.GetTimeoutMicros()) * time.Microsecond),
+		verdict:  make(chan gate.Verdict, 1),
+		fenced:   head.GetKeyed() || !head.GetIdempotent(),
+	}
+	if head.GetIncarnation() != a.incarnation {
+		a.refuse(r, peerpb.Reason_REASON_STALE_INCARNATION, 0)
+		return
+	}
+	if head.GetBodyBytes() > peer.BodyMaxBytes || head.GetBodyBytes() < 0 {
+		a.refuse(r, peerpb.Reason_REASON_TOO_LARGE, 0)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if a.bodies.Acquire(ctx, head.GetBodyBytes()) != nil {
+		a.refuse(r, peerpb.Reason_REASON_FULL, 0)
+		return
+	}
+	defer a.bodies.Release(head.GetBodyBytes())
+	stream.SetDeadline(time.Now().Add(bodyTimeout))
+	body, err := stream.ReceiveBody(head.GetBodyBytes(), peer.BodyMaxBytes)
+	if err != nil {
+		a.log.Info("request body was not received", "request", head.GetId(), "error", err.Error())
+		return
+	}
+	stream.SetDeadline(time.Time{})
+	r.body = body
+	watched := a.watchCaller(cancel, stream)
+	a.admit(ctx, r)
+	stream.Close()
+	<-watched
+}
+
+// watchCaller cancels the request when the entry closes the stream.
+func (a *Agent) watchCaller(cancel context.CancelFunc, stream *peer.Stream) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = stream.Receive()
+		cancel()
+	}()
+	return done
+}
+
+func (a *Agent) admit(ctx context.Context, r *request) {
+	var earlier *fence.Record
+	if a.loop.Do(func() { earlier = a.offer(r) }) != nil {
+		return
+	}
+	if earlier != nil {
+		a.replay(ctx, r.stream, earlier)
+		return
+	}
+	select {
+	case v := <-r.verdict:
+		a.decide(ctx, r, v)
+	case <-ctx.Done():
+		withdrawn := false
+		_ = a.loop.Do(func() { withdrawn = r.upstream != nil && r.upstream.gate.Cancel(r.head.GetId()) })
+		if withdrawn {
+			a.forget(r)
+			a.refuse(r, peerpb.Reason_REASON_EXPIRED, 0)
+			return
+		}
+		a.decide(ctx, r, <-r.verdict)
+	}
+}
+
+// offer fences the request and asks the gate; it runs on the loop. It returns an earlier
+// record of the same id, if there is one.
+func (a *Agent) offer(r *request) (earlier *fence.Record) {
+	now := time.Now()
+	r.upstream = a.upstreamFor(r.head.GetService())
+	if r.upstream == nil {
+		r.verdict <- gate.Verdict{Reason: peerpb.Reason_REASON_NO_UPSTREAM}
+		return nil
+	}
+	// An idempotent request has a record as well, so that a cancellation that overtakes it holds.
+	earlier, full := a.control.records.Begin(now, r.head.GetId(), r.head.GetKeyed())
+	if earlier != nil {
+		return earlier
+	}
+	if full {
+		r.verdict <- gate.Verdict{Reason: peerpb.Reason_REASON_FULL}
+		return nil
+	}
+	r.upstream.gate.Offer(now, &gate.Ticket{
+		ID:       r.head.GetId(),
+		Urgency:  int(r.head.GetUrgency()),
+		Deadline: r.deadline,
+		Notify:   func(v gate.Verdict) { r.verdict <- v },
+	})
+	return nil
+}
+
+func (a *Agent) decide(ctx context.Context, r *request, v gate.Verdict) {
+	if !v.Admitted {
+		a.forget(r)
+		a.refuse(r, v.Reason, v.RetryAfter)
+		return
+	}
+	// A process that was paused while it waited finds its deadline passed here.
+	if ctx.Err() != nil {
+		a.forget(r)
+		a.release(r)
+		a.refuse(r, peerpb.Reason_REASON_EXPIRED, 0)
+		return
+	}
+	a.call(ctx, r)
+}
+
+// call sends the request to the upstream and its answer to the entry.
+func (a *Agent) call(ctx context.Context, r *request) {
+	began := time.Now()
+	answer, err := a.options.Upstream.Do(ctx, r.upstream.address, driver.Call{
+		ID: r.head.GetId(), Kind: r.head.GetKind(), Path: r.head.GetPath(),
+		ContentType: r.head.GetContentType(), Body: r.body,
+	})
+	if errors.Is(err, driver.ErrNotSent) {
+		a.forget(r)
+		a.release(r)
+		a.refuse(r, peerpb.Reason_REASON_NO_UPSTREAM, 0)
+		return
+	}
+	if err != nil {
+		a.abandon(r)
+		a.log.Warn("upstream gave no answer", "request", r.head.GetId(), "error", err.Error())
+		_ = r.stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, State: a.state(r), Detail: "the upstream gave no answer"}))
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	a.forward(r, answer, began)
+}
+
+// forward streams the upstream's answer; only a whole answer ends with complete.
+func (a *Agent) forward(r *request, answer driver.Answer, began time.Time) {
+	head := &peerpb.ResponseHead{Status: int32(answer.Status), Upstream: a.options.ID}
+	for _, h := range answer.Headers {
+		head.Headers = append(head.Headers, &peerpb.Header{Name: h[0], Value: h[1]})
+	}
+	kept := &fence.Answer{Head: head}
+	sendErr := r.stream.Send(peer.ResponseFrame(head))
+	buffer := make([]byte, peer.ChunkBytes)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 && sendErr == nil {
+			sendErr = r.stream.Send(peer.ChunkFrame(buffer[:n]))
+		}
+		if len(kept.Body) <= fence.AnswerMaxBytes {
+			kept.Body = append(kept.Body, buffer[:n]...)
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF):
+			a.finish(r, kept, began)
+			if sendErr == nil {
+				_ = r.stream.Send(peer.EndFrame(&peerpb.End{Complete: true, Outcome: peerpb.Outcome_OUTCOME_ANSWERED, State: a.state(r)}))
+			}
+		default:
+			a.abandon(r)
+			_ = r.stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, State: a.state(r), Detail: "the upstream's answer broke off"}))
+		}
+		return
+	}
+}
+
+func (a *Agent) finish(r *request, kept *fence.Answer, began time.Time) {
+	_ = a.loop.Do(func() {
+		now := time.Now()
+		a.control.records.Finish(now, r.head.GetId(), fence.StateAnswered, kept)
+		r.upstream.gate.Release(now, r.head.GetId())
+		r.upstream.window.add(now, r.head.GetKind(), now.Sub(began))
+	})
+}
+
+func (a *Agent) abandon(r *request) {
+	_ = a.loop.Do(func() {
+		now := time.Now()
+		a.control.records.Finish(now, r.head.GetId(), fence.StateUnknown, nil)
+		r.upstream.gate.Abandon(now, r.head.GetId())
+	})
+}
+
+func (a *Agent) forget(r *request) {
+	_ = a.loop.Do(func() { a.control.records.Forget(r.head.GetId()) })
+}
+
+func (a *Agent) release(r *request) {
+	_ = a.loop.Do(func() { r.upstream.gate.Release(time.Now(), r.head.GetId()) })
+}
+
+func (a *Agent) refuse(r *request, reason peerpb.Reason, retryAfter time.Duration) {
+	a.options.Metrics.Refusals.WithLabelValues(reason.String()).Inc()
+	a.log.Info("request refused", "request", r.head.GetId(), "service", r.head.GetService(), "reason", reason.String())
+	_ = r.stream.Send(peer.RefusalFrame(&peerpb.Refusal{Reason: reason, RetryAfterMillis: retryAfter.Milliseconds(), State: a.state(r)}))
+	r.stream.Close()
+}
+
+// state returns the fresh state that travels on each answer, or nil.
+func (a *Agent) state(r *request) (state *peerpb.UpstreamState) {
+	_ = a.loop.Do(func() {
+		if r.upstream != nil {
+			state = upstreamState(time.Now(), r.upstream, a.control.draining)
+		}
+	})
+	return state
+}
+
+// replay answers a repeated request from the record of its first run.
+func (a *Agent) replay(ctx context.Context, stream *peer.Stream, record *fence.Record) {
+	select {
+	case <-record.Ended():
+	case <-ctx.Done():
+		_ = stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Detail: "the first request with this id is still running"}))
+		return
+	}
+	var state fence.State
+	var answer *fence.Answer
+	if a.loop.Do(func() { state, answer = record.State(), record.Answer() }) != nil {
+		return
+	}
+	switch state {
+	case fence.StateAnswered:
+		if stream.Send(peer.ResponseFrame(answer.Head)) == nil {
+			_ = stream.SendBody(answer.Body, &peerpb.End{Complete: true, Outcome: peerpb.Outcome_OUTCOME_ANSWERED})
+		}
+	case fence.StateRan:
+		_ = stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_RAN, Detail: "the request ran; its answer is no longer held"}))
+	case fence.StateCancelled:
+		_ = stream.Send(peer.RefusalFrame(&peerpb.Refusal{Reason: peerpb.Reason_REASON_CANCELLED}))
+	default:
+		_ = stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Detail: "the upstream gave no answer to the first request"}))
+	}
+}
+
+// serveLookup answers from the record of a request, or proves that it will never run.
+func (a *Agent) serveLookup(ctx context.Context, stream *peer.Stream, l *peerpb.Lookup) {
+	defer stream.Close()
+	if l.GetIncarnation() != a.incarnation {
+		_ = stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Detail: "the agent has restarted since"}))
+		return
+	}
+	var record *fence.Record
+	if a.loop.Do(func() {
+		a.control.records.Cancel(time.Now(), l.GetId())
+		record = a.control.records.Find(l.GetId())
+	}) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.GetTimeoutMicros())*time.Microsecond)
+	defer cancel()
+	a.replay(ctx, stream, record)
+}
+
+// serveCancel makes sure that a request never starts, if it has not yet.
+func (a *Agent) serveCancel(stream *peer.Stream, c *peerpb.Cancel) {
+	defer stream.Close()
+	notRun := false
+	if c.GetIncarnation() == a.incarnation {
+		_ = a.loop.Do(func() { notRun = a.cancel(c.GetId()) })
+	}
+	_ = stream.Send(peer.CancelReplyFrame(&peerpb.CancelReply{NotRun: notRun}))
+}
+
+// cancel proves that a request has not run and never will; it runs on the loop.
+func (a *Agent) cancel(id string) bool {
+	for _, u := range a.control.upstreams {
+		if u.gate.Cancel(id) {
+			a.control.records.Forget(id)
+		}
+	}
+	return a.control.records.Cancel(time.Now(), id)
+}
--- /dev/null
+++ b/internal/app/doc.go
@@ -0,0 +1,2 @@
+// Package app wires each role from its settings.
+package app
--- /dev/null
+++ b/internal/app/wire.go
@@ -0,0 +1,28 @@
+//go:build wireinject
+
+package app
+
+import (
+	"log/slog"
+
+	"github.com/google/wire"
+
+	"github.com/jasminebay/jasminebay/internal/agent"
+	"github.com/jasminebay/jasminebay/internal/claim"
+	"github.com/jasminebay/jasminebay/internal/entry"
+	"github.com/jasminebay/jasminebay/internal/settings"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
+)
+
+// NewEntry wires an entry.
+func NewEntry(s *settings.Entry, log *slog.Logger) *entry.Entry {
+	wire.Build(entry.New, provideEntryOptions, provideStore, provideHolder, provideWatcher, provideEditor,
+		providePlacer, provideRouter, claim.New, telemetry.NewMetrics)
+	return nil
+}
+
+// NewAgent wires an agent.
+func NewAgent(s *settings.Agent, log *slog.Logger) *agent.Agent {
+	wire.Build(agent.New, provideAgentOptions, provideWorker, provideUpstream, telemetry.NewMetrics)
+	return nil
+}
--- /dev/null
+++ b/internal/cell/journal.go
@@ -0,0 +1,317 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/errs"
+)
+
+// Sizes of the journal's values.
+const (
+	// sealBytes is the size of the tail at which it is sealed as a segment.
+	sealBytes = 32 << 10
+	// snapshotChunkBytes bounds one value of a snapshot.
+	snapshotChunkBytes = 512 << 10
+	// compactMinBytes is the least size of the segments that is worth a compaction.
+	compactMinBytes = 128 << 10
+)
+
+// Delays between tries while the key-value service does not answer.
+const (
+	storeRetryMin = 50 * time.Millisecond
+	storeRetryMax = 2 * time.Second
+)
+
+// ErrLost tells that another owner has taken the cell.
+var ErrLost = errors.New("cell: another owner has taken the cell")
+
+// Prefix is the key prefix of a cell's values.
+func Prefix(cell string) string { return "cells/" + cell + "/" }
+
+// HeadKey is the key of a cell's head.
+func HeadKey(cell string) string { return Prefix(cell) + "head" }
+
+// Identity names an owner of a cell.
+type Identity struct {
+	Entry   string
+	Address string
+}
+
+// Journal makes a cell's records durable under one epoch. It is not safe for concurrent use.
+type Journal struct {
+	store     driver.Store
+	cell      string
+	head      *cellpb.Head
+	revision  uint64
+	confirmed time.Time
+	garbage   []string
+}
+
+// ReadHead returns a cell's head and its revision; a cell without one has an empty head.
+func ReadHead(ctx context.Context, store driver.Store, cell string) (head *cellpb.Head, revision uint64, err error) {
+	defer errs.Annotate(&err, "cell: read head of %s", cell)
+	item, err := store.Get(ctx, HeadKey(cell))
+	if errors.Is(err, driver.ErrNotFound) {
+		return &cellpb.Head{}, driver.RevisionAbsent, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	head = &cellpb.Head{}
+	if err = proto.Unmarshal(item.Value(), head); err != nil {
+		return nil, 0, err
+	}
+	return head, item.Revision(), nil
+}
+
+// OpenJournal makes identity the owner of a cell under the next epoch and returns the state.
+// before is the head as it was, which tells whether the last owner had released the cell.
+func OpenJournal(ctx context.Context, store driver.Store, cell string, identity Identity) (j *Journal, state *State, before *cellpb.Head, err error) {
+	defer errs.Annotate(&err, "cell: take %s", cell)
+	before, revision, err := ReadHead(ctx, store, cell)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	state, err = load(ctx, store, before)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	j = &Journal{store: store, cell: cell, head: before, revision: revision}
+	next := proto.CloneOf(before)
+	next.Epoch++
+	next.Owner, next.OwnerAddress, next.Released = identity.Entry, identity.Address, false
+	if err = j.swap(ctx, next); err != nil {
+		return nil, nil, nil, err
+	}
+	return j, state, before, nil
+}
+
+func load(ctx context.Context, store driver.Store, head *cellpb.Head) (*State, error) {
+	state := NewState()
+	keys := append(append([]string(nil), head.GetSnapshotKeys()...), head.GetSegmentKeys()...)
+	for _, key := range keys {
+		item, err := store.Get(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		segment := &cellpb.Segment{}
+		if err := proto.Unmarshal(item.Value(), segment); err != nil {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+		if err := applyAll(state, segment.GetRecords()); err != nil {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	return state, applyAll(state, head.GetTail())
+}
+
+func applyAll(state *State, records []*cellpb.Record) error {
+	for _, r := range records {
+		if err := state.Apply(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Epoch returns the epoch under which this journal writes.
+func (j *Journal) Epoch() uint64 { return j.head.GetEpoch() }
+
+// Confirmed returns when the last call began that proved this owner's epoch.
+func (j *Journal) Confirmed() time.Time { return j.confirmed }
+
+// Commit makes records durable. It tries until it knows the outcome: nil, ErrLost, or
+// the error of ctx, after which the outcome is not known.
+func (j *Journal) Commit(ctx context.Context, records []*cellpb.Record) (err error) {
+	defer errs.Annotate(&err, "cell: commit to %s", j.cell)
+	next := proto.CloneOf(j.head)
+	if size := tailBytes(next); size >= sealBytes {
+		if err = j.seal(ctx, next, size); err != nil {
+			return err
+		}
+	}
+	next.Tail = append(next.Tail, records...)
+	return j.swap(ctx, next)
+}
+
+func tailBytes(h *cellpb.Head) int {
+	return proto.Size(&cellpb.Segment{Records: h.GetTail()})
+}
+
+// seal moves the tail of next into a segment of its own.
+func (j *Journal) seal(ctx context.Context, next *cellpb.Head, size int) error {
+	key := Prefix(j.cell) + "segment/" + strconv.FormatUint(next.GetEpoch(), 10) + "-" + strconv.FormatUint(next.GetNextSegment(), 10)
+	if err := j.create(ctx, key, next.GetTail()); err != nil {
+		return err
+	}
+	next.NextSegment++
+	next.SegmentKeys = append(next.SegmentKeys, key)
+	next.SegmentBytes += int64(size)
+	next.Tail = nil
+	return nil
+}
+
+// create writes a value under a key that this epoch alone uses; the same records written
+// twice are the same value.
+func (j *Journal) create(ctx context.Context, key string, records []*cellpb.Record) error {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&cellpb.Segment{Records: records})
+	if err != nil {
+		return err
+	}
+	return retry(ctx, func() error {
+		_, err := j.store.Swap(ctx, key, driver.RevisionAbsent, value, "")
+		if errors.Is(err, driver.ErrConflict) {
+			return nil
+		}
+		return err
+	})
+}
+
+// swap writes the head by compare-and-swap and finds out whether it took effect.
+func (j *Journal) swap(ctx context.Context, next *cellpb.Head) error {
+	next.Change++
+	next.ChangeId = strconv.FormatUint(rand.Uint64(), 36)
+	value, err := proto.Marshal(next)
+	if err != nil {
+		return err
+	}
+	return retry(ctx, func() error {
+		began := time.Now()
+		revision, err := j.store.Swap(ctx, HeadKey(j.cell), j.revision, value, "")
+		if errors.Is(err, driver.ErrConflict) || errors.Is(err, driver.ErrAmbiguous) {
+			revision, err = j.readBack(ctx, next)
+		}
+		if err != nil {
+			return err
+		}
+		j.head, j.revision, j.confirmed = next, revision, began
+		return nil
+	})
+}
+
+// readBack tells whether the change of next is the one that the head holds.
+func (j *Journal) readBack(ctx context.Context, next *cellpb.Head) (uint64, error) {
+	head, revision, err := ReadHead(ctx, j.store, j.cell)
+	switch {
+	case err != nil:
+		return 0, err
+	case head.GetChangeId() == next.GetChangeId():
+		return revision, nil
+	case revision == j.revision:
+		return 0, driver.ErrUnavailable
+	default:
+		return 0, ErrLost
+	}
+}
+
+// Verify proves that this journal's epoch is still the newest, or returns ErrLost.
+func (j *Journal) Verify(ctx context.Context) (err error) {
+	began := time.Now()
+	head, _, err := ReadHead(ctx, j.store, j.cell)
+	if err != nil {
+		return err
+	}
+	if head.GetEpoch() > j.head.GetEpoch() {
+		return ErrLost
+	}
+	j.confirmed = began
+	return nil
+}
+
+// Release gives up the cell, so that the next owner need not wait for this one.
+func (j *Journal) Release(ctx context.Context) error {
+	next := proto.CloneOf(j.head)
+	next.Released = true
+	return j.swap(ctx, next)
+}
+
+// CompactionDue reports whether the segments have outgrown the snapshot.
+func (j *Journal) CompactionDue() bool {
+	return j.head.GetSegmentBytes() > max(compactMinBytes, j.head.GetSnapshotBytes())
+}
+
+// Compact replaces snapshot, segments and tail by a snapshot of all that is committed.
+func (j *Journal) Compact(ctx context.Context, records []*cellpb.Record) (err error) {
+	defer errs.Annotate(&err, "cell: compact %s", j.cell)
+	next := proto.CloneOf(j.head)
+	old := append(next.GetSnapshotKeys(), next.GetSegmentKeys()...)
+	next.SnapshotKeys, next.SegmentKeys, next.Tail = nil, nil, nil
+	next.SegmentBytes, next.SnapshotBytes = 0, 0
+	prefix := fmt.Sprintf("%ssnapshot/%d-%d-", Prefix(j.cell), next.GetEpoch(), next.GetChange())
+	for i, chunk := range chunks(records) {
+		key := prefix + strconv.Itoa(i)
+		if err = j.create(ctx, key, chunk); err != nil {
+			return err
+		}
+		next.SnapshotKeys = append(next.SnapshotKeys, key)
+		next.SnapshotBytes += int64(proto.Size(&cellpb.Segment{Records: chunk}))
+	}
+	if err = j.swap(ctx, next); err != nil {
+		return err
+	}
+	j.garbage = append(j.garbage, old...)
+	return nil
+}
+
+// chunks splits records so that each chunk fits one value.
+func chunks(records []*cellpb.Record) (split [][]*cellpb.Record) {
+	var chunk []*cellpb.Record
+	size := 0
+	for _, r := range records {
+		n := proto.Size(r)
+		if size+n > snapshotChunkBytes && len(chunk) > 0 {
+			split = append(split, chunk)
+			chunk, size = nil, 0
+		}
+		chunk = append(chunk, r)
+		size += n
+	}
+	if len(chunk) > 0 {
+		split = append(split, chunk)
+	}
+	return split
+}
+
+// Sweep deletes one value that no head refers to any more; failures are tried again later.
+func (j *Journal) Sweep(ctx context.Context) {
+	if len(j.garbage) == 0 {
+		return
+	}
+	key := j.garbage[0]
+	item, err := j.store.Get(ctx, key)
+	if err == nil {
+		err = j.store.Delete(ctx, key, item.Revision())
+	}
+	if err == nil || errors.Is(err, driver.ErrNotFound) {
+		j.garbage = j.garbage[1:]
+	}
+}
+
+// retry calls f until it succeeds, the cell is lost or ctx ends, with jittered delays.
+func retry(ctx context.Context, f func() error) error {
+	for delay := storeRetryMin; ; delay = min(2*delay, storeRetryMax) {
+		err := f()
+		if err == nil || errors.Is(err, ErrLost) || errors.Is(err, driver.ErrTooLarge) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		t := time.NewTimer(delay/2 + rand.N(delay/2))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/place.go
@@ -0,0 +1,397 @@
+package cell
+
+import (
+	"container/list"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+const (
+	// placementsPerRound bounds the work of one tick.
+	placementsPerRound = 256
+	// lookahead is how far into a team's queue a round looks for a task that fits.
+	lookahead = 8
+)
+
+// place assigns waiting tasks to workers; it runs on the loop.
+func (o *Owner) place(now time.Time) {
+	if !o.c.dirty || o.c.queue.size == 0 {
+		return
+	}
+	o.c.dirty = false
+	r := &round{owner: o, now: now, seats: o.seats(now), largest: o.largest(), shares: map[string]float64{}}
+	for urgency := urgencies - 1; urgency >= 0; urgency-- {
+		r.level(o.c.queue.levels[urgency])
+	}
+	if r.placed >= placementsPerRound {
+		o.c.dirty = true
+	}
+}
+
+func (o *Owner) seats(now time.Time) []driver.Seat {
+	seats := make([]driver.Seat, 0, len(o.c.workers))
+	for _, w := range o.c.workers {
+		if !w.usable(now) {
+			continue
+		}
+		classes := map[string]int{}
+		for _, a := range w.assigned {
+			classes[a.class]++
+		}
+		seats = append(seats, driver.Seat{Worker: w.Name, Rack: w.Rack, Capacity: w.capacity, Free: w.free(), Classes: classes, Serves: w.serves})
+	}
+	slices.SortFunc(seats, func(a, b driver.Seat) int { return strings.Compare(a.Worker, b.Worker) })
+	return seats
+}
+
+// round is one pass over the queue.
+type round struct {
+	owner  *Owner
+	now    time.Time
+	seats  []driver.Seat
+	placed int
+	// largest is the largest amount of each thing that a worker of the cell has.
+	largest driver.Resources
+	// shares caches what teams use of their quotas.
+	shares map[string]float64
+	// failed lists needs for which there was no seat.
+	failed []driver.Resources
+}
+
+// level places the tasks of one urgency: again and again the team that uses the smallest
+// share of its quota goes first.
+func (r *round) level(teams map[string]*list.List) {
+	open := make([]string, 0, len(teams))
+	for team, l := range teams {
+		if l.Len() > 0 {
+			open = append(open, team)
+		} else {
+			delete(teams, team)
+		}
+	}
+	slices.Sort(open)
+	for len(open) > 0 && r.placed < placementsPerRound {
+		next := 0
+		for i := range open {
+			if r.share(open[i]) < r.share(open[next]) {
+				next = i
+			}
+		}
+		if !r.team(teams[open[next]]) {
+			open = slices.Delete(open, next, next+1)
+		}
+	}
+}
+
+func (r *round) share(team string) float64 {
+	s, known := r.shares[team]
+	if !known {
+		s = r.owner.share(team)
+		r.shares[team] = s
+	}
+	return s
+}
+
+// team places the first task of a team that fits and reports whether there was one.
+func (r *round) team(l *list.List) bool {
+	looked := 0
+	for e := l.Front(); e != nil && looked < lookahead; {
+		next := e.Next()
+		task := r.owner.c.state.tasks[e.Value.(string)]
+		if task == nil || task.task.GetPhase() != cellpb.Phase_PHASE_WAITING {
+			r.owner.c.queue.remove(l, e)
+			e = next
+			continue
+		}
+		looked++
+		if r.try(l, e, task) {
+			return true
+		}
+		e = next
+	}
+	return false
+}
+
+func (r *round) try(l *list.List, e *list.Element, task *entry) bool {
+	group := []*entry{task}
+	if task.job.GetGang() {
+		group = waiting(task.job, r.owner.c.state)
+	}
+	if detail := r.infeasible(group); detail != "" {
+		r.owner.refuse(group, detail)
+		return false
+	}
+	if !r.owner.withinQuota(group) {
+		return false
+	}
+	choices := r.choose(group)
+	if choices == nil {
+		r.owner.options.Metrics.Placements.WithLabelValues("no-room").Inc()
+		return false
+	}
+	r.owner.c.queue.remove(l, e)
+	for i, g := range group {
+		r.commit(g, choices[i])
+	}
+	return true
+}
+
+// waiting lists the tasks of a gang that wait; the others run already.
+func waiting(job *cellpb.Job, s *State) (group []*entry) {
+	for _, t := range job.GetTasks() {
+		if t.GetPhase() == cellpb.Phase_PHASE_WAITING {
+			group = append(group, s.tasks[t.GetId()])
+		}
+	}
+	return group
+}
+
+// choice is a seat for a task and what it reserves there.
+type choice struct {
+	seat int
+	need driver.Resources
+}
+
+// choose finds a seat for each task of a group, or returns nil and leaves the seats as
+// they were.
+func (r *round) choose(group []*entry) []choice {
+	var choices []choice
+	for _, g := range group {
+		need := r.needOf(g.task)
+		seat := -1
+		if !r.hopeless(need) {
+			r.prepare(g)
+			seat = r.owner.options.Placer.Place(need, r.seats)
+		}
+		if seat < 0 {
+			if len(choices) == 0 {
+				r.failed = append(r.failed, need)
+			}
+			for _, c := range choices {
+				r.seats[c.seat].Free = r.seats[c.seat].Free.Plus(c.need)
+			}
+			return nil
+		}
+		r.seats[seat].Free = r.seats[seat].Free.Minus(need)
+		choices = append(choices, choice{seat, need})
+	}
+	return choices
+}
+
+// hopeless reports whether a smaller need has found no seat in this round.
+func (r *round) hopeless(need driver.Resources) bool {
+	for _, f := range r.failed {
+		if f.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// prepare fills in what the seats mean for one task.
+func (r *round) prepare(g *entry) {
+	racks := map[string]int{}
+	for _, t := range g.job.GetTasks() {
+		if t.GetPhase() != cellpb.Phase_PHASE_RUNNING {
+			continue
+		}
+		if w := r.owner.c.workers[t.GetWorker()]; w != nil {
+			racks[w.Rack]++
+		}
+	}
+	cores := float64(resources(g.task.GetResources()).MilliCPU()) / 1000
+	harm := r.owner.c.model.Bound(g.task.GetClass()) * cores
+	for i := range r.seats {
+		r.seats[i].SameJob = racks[r.seats[i].Rack]
+		r.seats[i].Harm = 0
+		if r.seats[i].Serves {
+			r.seats[i].Harm = harm + r.owner.c.workers[r.seats[i].Worker].pressure()
+		}
+	}
+}
+
+// needOf returns what a task reserves: what it declares, or more if tasks of its class
+// have used more, as long as that fits the largest worker.
+func (r *round) needOf(t *cellpb.Task) driver.Resources {
+	declared := resources(t.GetResources())
+	learned := r.owner.c.sizes.need(t.GetClass(), declared)
+	if learned.Fits(r.largest) {
+		return learned
+	}
+	return declared
+}
+
+func (o *Owner) largest() (largest driver.Resources) {
+	for _, w := range o.c.workers {
+		largest = largest.Max(w.capacity)
+	}
+	return largest
+}
+
+// commit records a placement; the attempt starts once that is durable.
+func (r *round) commit(g *entry, c choice) {
+	o := r.owner
+	w := o.c.workers[r.seats[c.seat].Worker]
+	a := &assignment{
+		task: g.task.GetId(), attempt: g.task.GetAttempt() + 1, class: g.task.GetClass(),
+		reserved: c.need, checkpoint: g.task.GetCheckpoint(), calling: true, incarnation: w.Incarnation,
+	}
+	if !o.record(placedRecord(&cellpb.Placed{Task: a.task, Attempt: a.attempt, Worker: w.Name, Reserved: toRecord(c.need)}),
+		func() { o.start(w, a, g) }) {
+		return
+	}
+	r.placed++
+	w.assign(a)
+	o.addUse(g.job.GetTeam(), a.reserved)
+	delete(r.shares, g.job.GetTeam())
+	r.seats[c.seat].Classes[a.class]++
+	o.options.Metrics.Placements.WithLabelValues("placed").Inc()
+	o.log.Info("task placed", "task", a.task, "attempt", a.attempt, "job", g.job.GetId(), "team", g.job.GetTeam(),
+		"candidates", len(r.seats), "choice", w.Name, "policy", o.options.Placer.Name(), "need", c.need.String(),
+		"harm", r.seats[c.seat].Harm, "reason", reasonOf(a))
+}
+
+func reasonOf(a *assignment) string {
+	switch {
+	case a.attempt == 1:
+		return "first attempt"
+	case a.checkpoint != "":
+		return "resume from " + a.checkpoint
+	}
+	return "next attempt"
+}
+
+// start sends a placed attempt to its worker; it runs on the loop after the commit.
+func (o *Owner) start(w *worker, a *assignment, g *entry) {
+	if w.assigned[a.task] != a {
+		return
+	}
+	command := &peerpb.StartTask{
+		Cell: o.options.Cell, Epoch: o.epoch, Term: w.term, Task: a.task, Attempt: a.attempt,
+		Resources: toProto(a.reserved), Checkpoint: a.checkpoint, Class: a.class,
+		RunMillis: g.task.GetRunMillis(), Idempotent: g.task.GetIdempotent(),
+	}
+	name := w.Name
+	o.call(func(ctx context.Context) func() {
+		reply, err := o.options.Agents.Start(ctx, name, command)
+		return func() { o.startReplied(w, a, reply, err) }
+	})
+}
+
+func (o *Owner) startReplied(w *worker, a *assignment, reply *peerpb.TaskReply, err error) {
+	a.calling = false
+	if w.assigned[a.task] != a {
+		return
+	}
+	switch {
+	case err != nil:
+		// Whether it runs is settled by the agent's next reports.
+		o.log.Warn("start was not answered", "task", a.task, "worker", w.Name, "error", err.Error())
+	case reply.GetAccepted():
+		a.confirmed = true
+	case reply.GetReason() == peerpb.Reason_REASON_UNSPECIFIED:
+	default:
+		now := time.Now()
+		w.coolUntil = now.Add(coolDown)
+		if reply.GetReason() == peerpb.Reason_REASON_WORKER_FAILED {
+			o.blame(w, now)
+		}
+		o.endAttempt(w, a.task, a.attempt, cellpb.Ending_ENDING_NOT_STARTED, "", "refused: "+reply.GetReason().String(), now)
+	}
+}
+
+// infeasible explains why a group can never run, or returns "".
+func (r *round) infeasible(group []*entry) string {
+	o := r.owner
+	if len(o.c.workers) == 0 || r.now.Sub(o.c.taken) < settleAfterTake {
+		return ""
+	}
+	largest := r.largest
+	if o.options.LargestElsewhere != nil {
+		largest = largest.Max(o.options.LargestElsewhere())
+	}
+	for _, g := range group {
+		if n := resources(g.task.GetResources()); !n.Fits(largest) {
+			return fmt.Sprintf("needs %s, but the largest worker has %s", n, largest)
+		}
+	}
+	if quota, limited := o.quota(group[0].job.GetTeam()); limited && !total(group).Fits(quota) {
+		return fmt.Sprintf("needs %s, but the quota of team %s is %s", total(group), group[0].job.GetTeam(), quota)
+	}
+	return ""
+}
+
+func total(group []*entry) (sum driver.Resources) {
+	for _, g := range group {
+		sum = sum.Plus(resources(g.task.GetResources()))
+	}
+	return sum
+}
+
+func (o *Owner) refuse(group []*entry, detail string) {
+	for _, g := range group {
+		if o.record(refusedRecord(g.task.GetId(), detail), nil) {
+			o.options.Metrics.Placements.WithLabelValues("infeasible").Inc()
+			o.log.Info("task can never run", "task", g.task.GetId(), "job", g.job.GetId(), "reason", detail)
+		}
+	}
+}
+
+// quota returns what a team's running tasks may reserve, if the document limits it.
+func (o *Owner) quota(team string) (driver.Resources, bool) {
+	d := o.options.Document()
+	if d == nil || d.Team(team) == nil {
+		return driver.Resources{}, false
+	}
+	q := d.Team(team).Quota
+	return driver.NewResources(q.MilliCPU, q.MemoryBytes, q.Accelerators), true
+}
+
+func (o *Owner) teamUse(team string) driver.Resources {
+	use := o.c.use[team]
+	if o.options.Elsewhere != nil {
+		use = use.Plus(o.options.Elsewhere(team))
+	}
+	return use
+}
+
+func (o *Owner) withinQuota(group []*entry) bool {
+	team := group[0].job.GetTeam()
+	quota, limited := o.quota(team)
+	if !limited {
+		return true
+	}
+	use := o.teamUse(team)
+	for _, g := range group {
+		use = use.Plus(resources(g.task.GetResources()))
+	}
+	return use.Fits(quota)
+}
+
+// share returns the largest share of its quota that a team uses.
+func (o *Owner) share(team string) float64 {
+	quota, limited := o.quota(team)
+	use := o.teamUse(team)
+	if !limited {
+		return float64(use.MilliCPU())
+	}
+	return max(
+		ratio(use.MilliCPU(), quota.MilliCPU()),
+		ratio(use.MemoryBytes(), quota.MemoryBytes()),
+		ratio(use.Accelerators(), quota.Accelerators()),
+	)
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,148 @@
+// Package claim fences non-idempotent requests that carry an idempotency key: a record in
+// the key-value service names the one agent that may have run a key.
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/fence"
+)
+
+const (
+	// leaseSpan is how long one lease takes on claims; it ends fence.Window later.
+	leaseSpan    = time.Minute
+	settleTries  = 4
+	settlePause  = 50 * time.Millisecond
+	hashEncoding = 36
+)
+
+// Claim names the agent that may have run a key.
+type Claim struct {
+	Service     string `json:"service"`
+	Key         string `json:"key"`
+	Agent       string `json:"agent"`
+	DataCentre  string `json:"data-centre"`
+	Incarnation uint64 `json:"incarnation"`
+	// Number counts the agents that the key was given to.
+	Number uint64 `json:"number"`
+	Nonce  string `json:"nonce"`
+
+	revision uint64
+}
+
+// RequestID returns the id under which the agent knows the request.
+func (c *Claim) RequestID() string {
+	return "k-" + digest(c.Service, c.Key) + "." + strconv.FormatUint(c.Number, 10)
+}
+
+func digest(service, key string) string {
+	h := xxhash.New()
+	_, _ = h.WriteString(service + "\x00" + key)
+	first := h.Sum64()
+	_, _ = h.WriteString("\x00")
+	return strconv.FormatUint(first, hashEncoding) + strconv.FormatUint(h.Sum64(), hashEncoding)
+}
+
+func path(service, key string) string { return "claims/" + service + "/" + digest(service, key) }
+
+// Registry reads and writes claims; it is safe for concurrent use.
+type Registry struct {
+	store   driver.Store
+	mu      sync.Mutex
+	lease   driver.Lease
+	granted time.Time
+}
+
+// New returns a Registry over a store.
+func New(store driver.Store) *Registry { return &Registry{store: store} }
+
+// Take writes the claim c. If the key is claimed already it returns that claim and false.
+// An error proves that no agent was given the key by this call.
+func (r *Registry) Take(ctx context.Context, c Claim) (claim *Claim, taken bool, err error) {
+	defer errs.Annotate(&err, "claim: take")
+	c.revision = driver.RevisionAbsent
+	return r.write(ctx, c)
+}
+
+// Move gives the key of old, which is proved not to have run, to another agent. If
+// somebody else has moved it, that claim and false are returned.
+func (r *Registry) Move(ctx context.Context, old *Claim, agent, dataCentre string, incarnation uint64) (claim *Claim, moved bool, err error) {
+	defer errs.Annotate(&err, "claim: move")
+	next := *old
+	next.Agent, next.DataCentre, next.Incarnation = agent, dataCentre, incarnation
+	next.Number++
+	return r.write(ctx, next)
+}
+
+func (r *Registry) write(ctx context.Context, c Claim) (*Claim, bool, error) {
+	lease, err := r.currentLease(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	c.Nonce = strconv.FormatUint(rand.Uint64(), hashEncoding)
+	value, err := json.Marshal(c)
+	if err != nil {
+		return nil, false, err
+	}
+	for range settleTries {
+		revision, err := r.store.Swap(ctx, path(c.Service, c.Key), c.revision, value, lease)
+		switch {
+		case err == nil:
+			c.revision = revision
+			return &c, true, nil
+		case errors.Is(err, driver.ErrConflict), errors.Is(err, driver.ErrAmbiguous):
+		default:
+			return nil, false, err
+		}
+		found, err := r.read(ctx, c.Service, c.Key)
+		switch {
+		case err == nil && found.Nonce == c.Nonce:
+			return found, true, nil
+		case err == nil && found.revision != c.revision:
+			return found, false, nil
+		case err != nil && !errors.Is(err, driver.ErrNotFound):
+			return nil, false, err
+		}
+		time.Sleep(settlePause)
+	}
+	return nil, false, driver.ErrUnavailable
+}
+
+func (r *Registry) read(ctx context.Context, service, key string) (*Claim, error) {
+	item, err := r.store.Get(ctx, path(service, key))
+	if err != nil {
+		return nil, err
+	}
+	c := &Claim{}
+	if err := json.Unmarshal(item.Value(), c); err != nil {
+		return nil, err
+	}
+	c.revision = item.Revision()
+	return c, nil
+}
+
+// currentLease returns a lease that lasts at least fence.Window, a new one every leaseSpan.
+func (r *Registry) currentLease(ctx context.Context) (driver.Lease, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease != "" && time.Since(r.granted) < leaseSpan {
+		return r.lease, nil
+	}
+	began := time.Now()
+	lease, err := r.store.Grant(ctx, fence.Window+leaseSpan)
+	if err != nil {
+		return "", err
+	}
+	r.lease, r.granted = lease, began
+	return lease, nil
+}
--- /dev/null
+++ b/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line.
+package command
--- /dev/null
+++ b/internal/command/roles.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+
+	"github.com/jasminebay/jasminebay/internal/app"
+	"github.com/jasminebay/jasminebay/internal/entry"
+	"github.com/jasminebay/jasminebay/internal/settings"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
+)
+
+// agentMemoryLimit keeps the heap of an agent below the 128 MB that a node may spend.
+const agentMemoryLimit = 100 << 20
+
+type entryCommand struct {
+	settings.Entry
+	ctx     context.Context
+	streams streams
+}
+
+// Execute runs an entry until SIGTERM.
+func (c *entryCommand) Execute([]string) (err error) {
+	if err = c.Check(); err != nil {
+		return err
+	}
+	var l entry.Listeners
+	if l, err = listen(&c.Entry); err != nil {
+		return err
+	}
+	out := telemetry.NewLogWriter(os.Stderr)
+	ctx, stop := context.WithCancel(context.Background())
+	flushed := out.Run(ctx)
+	defer func() {
+		stop()
+		<-flushed
+	}()
+	return app.NewEntry(&c.Entry, telemetry.NewLogger(out, c.Level())).Run(c.ctx, l)
+}
+
+func listen(s *settings.Entry) (l entry.Listeners, err error) {
+	if l.Callers, err = net.Listen("tcp", s.Callers); err != nil {
+		return l, fmt.Errorf("--callers: %w", err)
+	}
+	if l.Operators, err = net.Listen("tcp", s.Operators); err != nil {
+		return l, fmt.Errorf("--operators: %w", err)
+	}
+	if l.Peers, err = net.Listen("tcp", s.Listen); err != nil {
+		return l, fmt.Errorf("--listen: %w", err)
+	}
+	return l, nil
+}
+
+type agentCommand struct {
+	settings.Agent
+	ctx     context.Context
+	streams streams
+}
+
+// Execute runs an agent until SIGTERM.
+func (c *agentCommand) Execute([]string) (err error) {
+	if err = c.Check(); err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(agentMemoryLimit)
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	out := telemetry.NewLogWriter(os.Stderr)
+	ctx, stop := context.WithCancel(context.Background())
+	flushed := out.Run(ctx)
+	defer func() {
+		stop()
+		<-flushed
+	}()
+	a := app.NewAgent(&c.Agent, telemetry.NewLogger(out, c.Level()))
+	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(l)
+	}()
+	err = a.Run(c.ctx)
+	_ = server.Close()
+	<-served
+	return err
+}
+
+type versionCommand struct{ streams streams }
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	version := "devel"
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		version = info.Main.Version
+	}
+	_, err := fmt.Fprintln(c.streams.out, "jasminebay", version)
+	return err
+}
--- /dev/null
+++ b/internal/config/editor.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/pkg/document"
+)
+
+// readBackTries bounds the attempts to find out whether a write took effect.
+const (
+	readBackTries = 5
+	readBackDelay = 100 * time.Millisecond
+)
+
+// ConflictError tells that the document has changed since the operator read it.
+type ConflictError struct {
+	// Revision is the current one, 0 if there is no document.
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("config: the current revision is %d", e.Revision)
+}
+
+// InDoubtError tells that it is not known whether a write took effect.
+type InDoubtError struct{ Reason string }
+
+// Error implements error.
+func (e *InDoubtError) Error() string {
+	return "config: not known whether it was accepted: " + e.Reason
+}
+
+// Editor reads and writes the documents of all environments.
+type Editor struct {
+	Store driver.Store
+}
+
+// Get returns an environment's document and its revision, or driver.ErrNotFound.
+func (e *Editor) Get(ctx context.Context, environment string) (raw json.RawMessage, revision uint64, err error) {
+	defer errs.Annotate(&err, "config: get %s", environment)
+	item, err := e.Store.Get(ctx, Key(environment))
+	if err != nil {
+		return nil, 0, err
+	}
+	var record Record
+	if err = json.Unmarshal(item.Value(), &record); err != nil {
+		return nil, 0, err
+	}
+	return record.Document, item.Revision(), nil
+}
+
+// Put accepts a document if the revision is still the one that the operator read, and
+// returns the new revision and the record. Errors are document.Faults, *ConflictError,
+// *InDoubtError, or of the store, which prove that nothing changed.
+func (e *Editor) Put(ctx context.Context, environment string, revision uint64, raw []byte) (next uint64, record []byte, err error) {
+	d, err := document.Parse(raw)
+	if err != nil {
+		return 0, nil, err
+	}
+	if d.Environment != environment {
+		return 0, nil, document.Faults{{Path: "$.environment", Message: fmt.Sprintf("%q is not the environment %q that it is put to", d.Environment, environment)}}
+	}
+	change := strconv.FormatUint(rand.Uint64(), 36)
+	record, err = json.Marshal(Record{ChangeID: change, Document: raw})
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(record) > driver.StoreMaxValueBytes {
+		return 0, nil, document.Faults{{Path: "$", Message: fmt.Sprintf("%d bytes as kept, at most %d are allowed", len(record), driver.StoreMaxValueBytes)}}
+	}
+	next, err = e.Store.Swap(ctx, Key(environment), revision, record, "")
+	switch {
+	case err == nil:
+		return next, record, nil
+	case errors.Is(err, driver.ErrConflict):
+		return 0, nil, e.conflict(ctx, environment)
+	case errors.Is(err, driver.ErrAmbiguous):
+		next, err = e.readBack(ctx, environment, revision, change)
+		return next, record, err
+	}
+	return 0, nil, err
+}
+
+func (e *Editor) conflict(ctx context.Context, environment string) error {
+	_, revision, err := e.Get(ctx, environment)
+	if err != nil && !errors.Is(err, driver.ErrNotFound) {
+		return err
+	}
+	return &ConflictError{Revision: revision}
+}
+
+// readBack finds out whether a write whose answer was lost has taken effect.
+func (e *Editor) readBack(ctx context.Context, environment string, before uint64, change string) (uint64, error) {
+	reason := "the key-value service does not answer"
+	for range readBackTries {
+		item, err := e.Store.Get(ctx, Key(environment))
+		var record Record
+		switch {
+		case err == nil && json.Unmarshal(item.Value(), &record) == nil && record.ChangeID == change:
+			return item.Revision(), nil
+		case err == nil && item.Revision() != before:
+			return 0, &InDoubtError{Reason: fmt.Sprintf("revision %d is another change", item.Revision())}
+		case err == nil, errors.Is(err, driver.ErrNotFound):
+			// The write may still be on its way.
+			reason = "the write may still take effect"
+		}
+		pause(ctx, readBackDelay)
+	}
+	return 0, &InDoubtError{Reason: reason}
+}
+
+// Promote accepts the document of one environment as that of another.
+func (e *Editor) Promote(ctx context.Context, from, to string, revision uint64) (next uint64, record []byte, err error) {
+	raw, _, err := e.Get(ctx, from)
+	if err != nil {
+		return 0, nil, err
+	}
+	var fields map[string]json.RawMessage
+	if err = json.Unmarshal(raw, &fields); err != nil {
+		return 0, nil, err
+	}
+	if fields["environment"], err = json.Marshal(to); err != nil {
+		return 0, nil, err
+	}
+	raw, err = json.Marshal(fields)
+	if err != nil {
+		return 0, nil, err
+	}
+	return e.Put(ctx, to, revision, raw)
+}
--- /dev/null
+++ b/internal/driver/kv/kv.go
@@ -0,0 +1,219 @@
+// Package kv speaks to the platform's key-value service over HTTP with JSON.
+//
+// The calls are GET, PUT and DELETE on /v1/keys/{key}, GET on /v1/keys?prefix=,
+// POST on /v1/leases and /v1/leases/{id}/renewals, and GET on /v1/watch.
+// docs/PLATFORM.md describes them.
+package kv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/errs"
+)
+
+// HeaderRevision carries a key's or the store's revision.
+const HeaderRevision = "Revision"
+
+// answerMaxBytes bounds what is read of one answer.
+const answerMaxBytes = 64 << 20
+
+// ItemJSON is an item on the wire.
+type ItemJSON struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// LeaseJSON is a lease on the wire.
+type LeaseJSON struct {
+	ID        string `json:"id"`
+	TTLMillis int64  `json:"ttl-millis"`
+}
+
+// Options configures a Client.
+type Options struct {
+	// Address is the base URL of the service.
+	Address string
+	// Timeout bounds each call but Watch.
+	Timeout time.Duration
+}
+
+// Client implements driver.Store; it is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConnsPerHost = 16
+	return &Client{options: o, http: &http.Client{Transport: t}}
+}
+
+var _ driver.Store = (*Client)(nil)
+
+// Get implements driver.Store.
+func (c *Client) Get(ctx context.Context, key string) (item driver.Item, err error) {
+	defer errs.Annotate(&err, "kv: get %s", key)
+	body, h, err := c.call(ctx, http.MethodGet, "/v1/keys/"+url.PathEscape(key), nil, nil)
+	if err != nil {
+		return driver.Item{}, err
+	}
+	revision, err := strconv.ParseUint(h.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		return driver.Item{}, err
+	}
+	return driver.NewItem(key, body, revision), nil
+}
+
+// List implements driver.Store.
+func (c *Client) List(ctx context.Context, prefix string) (items []driver.Item, revision uint64, err error) {
+	defer errs.Annotate(&err, "kv: list %s", prefix)
+	body, h, err := c.call(ctx, http.MethodGet, "/v1/keys?prefix="+url.QueryEscape(prefix), nil, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	revision, err = strconv.ParseUint(h.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		return nil, 0, err
+	}
+	var list []ItemJSON
+	if err = json.Unmarshal(body, &list); err != nil {
+		return nil, 0, err
+	}
+	for _, i := range list {
+		items = append(items, driver.NewItem(i.Key, i.Value, i.Revision))
+	}
+	return items, revision, nil
+}
+
+// Swap implements driver.Store.
+func (c *Client) Swap(ctx context.Context, key string, revision uint64, value []byte, lease driver.Lease) (next uint64, err error) {
+	defer errs.Annotate(&err, "kv: swap %s", key)
+	if len(value) > driver.StoreMaxValueBytes {
+		return 0, driver.ErrTooLarge
+	}
+	query := url.Values{}
+	if lease != "" {
+		query.Set("lease", string(lease))
+	}
+	h := http.Header{"If-Match": {strconv.FormatUint(revision, 10)}}
+	_, answer, err := c.call(ctx, http.MethodPut, "/v1/keys/"+url.PathEscape(key)+"?"+query.Encode(), h, value)
+	if err != nil {
+		return 0, err
+	}
+	return strconv.ParseUint(answer.Get(HeaderRevision), 10, 64)
+}
+
+// Delete implements driver.Store.
+func (c *Client) Delete(ctx context.Context, key string, revision uint64) (err error) {
+	defer errs.Annotate(&err, "kv: delete %s", key)
+	h := http.Header{"If-Match": {strconv.FormatUint(revision, 10)}}
+	_, _, err = c.call(ctx, http.MethodDelete, "/v1/keys/"+url.PathEscape(key), h, nil)
+	return err
+}
+
+// Grant implements driver.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (lease driver.Lease, err error) {
+	defer errs.Annotate(&err, "kv: grant")
+	body, err := json.Marshal(LeaseJSON{TTLMillis: ttl.Milliseconds()})
+	if err != nil {
+		return "", err
+	}
+	answer, _, err := c.call(ctx, http.MethodPost, "/v1/leases", nil, body)
+	if err != nil {
+		return "", err
+	}
+	var l LeaseJSON
+	if err = json.Unmarshal(answer, &l); err != nil {
+		return "", err
+	}
+	return driver.Lease(l.ID), nil
+}
+
+// Renew implements driver.Store.
+func (c *Client) Renew(ctx context.Context, lease driver.Lease) (err error) {
+	defer errs.Annotate(&err, "kv: renew")
+	_, _, err = c.call(ctx, http.MethodPost, "/v1/leases/"+url.PathEscape(string(lease))+"/renewals", nil, []byte{})
+	return err
+}
+
+// Watch implements driver.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (next uint64, err error) {
+	defer errs.Annotate(&err, "kv: watch %s", prefix)
+	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&wait-millis=%d", url.QueryEscape(prefix), revision, wait.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, wait+c.options.Timeout)
+	defer cancel()
+	_, h, err := c.send(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return 0, err
+	}
+	return strconv.ParseUint(h.Get(HeaderRevision), 10, 64)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, h http.Header, body []byte) ([]byte, http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	return c.send(ctx, method, path, h, body)
+}
+
+func (c *Client) send(ctx context.Context, method, path string, h http.Header, body []byte) (answer []byte, headers http.Header, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.options.Address, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	for k, v := range h {
+		request.Header[k] = v
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, failure(method, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err = io.ReadAll(io.LimitReader(response.Body, answerMaxBytes))
+	if err != nil {
+		return nil, nil, failure(method, err)
+	}
+	return answer, response.Header, status(method, response.StatusCode, answer)
+}
+
+// failure classifies a call that brought no whole answer: a read has no effect,
+// a write may have had one.
+func failure(method string, err error) error {
+	if method == http.MethodGet {
+		return errors.Wrapf(driver.ErrUnavailable, "%v", err)
+	}
+	return errors.Wrapf(driver.ErrAmbiguous, "%v", err)
+}
+
+func status(method string, code int, body []byte) error {
+	switch {
+	case code < http.StatusMultipleChoices:
+		return nil
+	case code == http.StatusNotFound:
+		return driver.ErrNotFound
+	case code == http.StatusPreconditionFailed:
+		return driver.ErrConflict
+	case code == http.StatusRequestEntityTooLarge:
+		return driver.ErrTooLarge
+	case code == http.StatusServiceUnavailable, code == http.StatusTooManyRequests:
+		return driver.ErrUnavailable
+	case method == http.MethodGet:
+		return errors.Wrapf(driver.ErrUnavailable, "status %d: %.200s", code, body)
+	default:
+		return errors.Wrapf(driver.ErrAmbiguous, "status %d: %.200s", code, body)
+	}
+}
--- /dev/null
+++ b/internal/driver/place/place.go
@@ -0,0 +1,107 @@
+// Package place holds the policies that choose a worker for a task.
+package place
+
+import (
+	"github.com/jasminebay/jasminebay/internal/driver"
+)
+
+// FirstFit takes the first worker that has room.
+type FirstFit struct{}
+
+// Place implements driver.Placer.
+func (FirstFit) Place(need driver.Resources, seats []driver.Seat) int {
+	for i := range seats {
+		if need.Fits(seats[i].Free) {
+			return i
+		}
+	}
+	return -1
+}
+
+// Name implements driver.Placer.
+func (FirstFit) Name() string { return "first-fit" }
+
+// LeastLoaded takes the worker with the largest share of its processors free.
+type LeastLoaded struct{}
+
+// Place implements driver.Placer.
+func (LeastLoaded) Place(need driver.Resources, seats []driver.Seat) int {
+	return best(need, seats, func(s *driver.Seat) float64 { return -freeShare(s) })
+}
+
+// Name implements driver.Placer.
+func (LeastLoaded) Name() string { return "least-loaded" }
+
+// Weights tell what a placement costs; each is at least 0.
+type Weights struct {
+	// Harm weighs the latency inflation of services on the worker.
+	Harm float64
+	// Packing weighs what is left over, so that large tasks find room.
+	Packing float64
+	// Spread weighs tasks of the same job in the same rack.
+	Spread float64
+}
+
+// PairScore weighs the harm that the task does to the services on the worker against how
+// well it packs and how far it spreads its job.
+type PairScore struct {
+	weights func() Weights
+}
+
+// NewPairScore returns a PairScore that asks for its weights at each placement.
+func NewPairScore(weights func() Weights) *PairScore { return &PairScore{weights: weights} }
+
+// Place implements driver.Placer.
+func (p *PairScore) Place(need driver.Resources, seats []driver.Seat) int {
+	w := p.weights()
+	return best(need, seats, func(s *driver.Seat) float64 {
+		return w.Harm*s.Harm + w.Packing*imbalance(need, s) + w.Spread*float64(s.SameJob)
+	})
+}
+
+// Name implements driver.Placer.
+func (p *PairScore) Name() string { return "pair-score" }
+
+// best returns the seat with room and the lowest cost, the first of equals, or -1.
+func best(need driver.Resources, seats []driver.Seat, cost func(*driver.Seat) float64) int {
+	chosen, lowest := -1, 0.0
+	for i := range seats {
+		if !need.Fits(seats[i].Free) {
+			continue
+		}
+		if c := cost(&seats[i]); chosen < 0 || c < lowest {
+			chosen, lowest = i, c
+		}
+	}
+	return chosen
+}
+
+func freeShare(s *driver.Seat) float64 {
+	if s.Capacity.MilliCPU() <= 0 {
+		return 0
+	}
+	return float64(s.Free.MilliCPU()) / float64(s.Capacity.MilliCPU())
+}
+
+// imbalance is how unevenly the task would leave processors and memory, plus a price for
+// accelerators that the task does not need.
+func imbalance(need driver.Resources, s *driver.Seat) float64 {
+	left := s.Free.Minus(need)
+	cpu := share(left.MilliCPU(), s.Capacity.MilliCPU())
+	memory := share(left.MemoryBytes(), s.Capacity.MemoryBytes())
+	cost := cpu - memory
+	if cost < 0 {
+		cost = -cost
+	}
+	if need.Accelerators() == 0 && s.Free.Accelerators() > 0 {
+		cost++
+	}
+	return cost
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/entry/agents.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminebay/jasminebay/internal/cell"
+	"github.com/jasminebay/jasminebay/internal/config"
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/route"
+	"github.com/jasminebay/jasminebay/pkg/document"
+)
+
+const (
+	// silenceLimit is how long a session may be without a heartbeat.
+	silenceLimit = 3 * time.Second
+	// keepers is about how many agents of a data centre keep the whole document.
+	keepers = 8
+	// documentMaxBytes bounds what is unpacked of a document from an agent.
+	documentMaxBytes = 2 << 20
+)
+
+// agentSession is an agent with a live session to this entry.
+type agentSession struct {
+	hello   *peerpb.Hello
+	session *peer.Session
+	targets map[string]*route.Target
+	report  *peerpb.Report
+	seen    time.Time
+	cell    string
+	// knownSent is the version of the list of entries that the agent has.
+	knownSent uint64
+}
+
+// goAccept serves sessions of agents and peers until ctx ends.
+func (e *Entry) goAccept(ctx context.Context, l net.Listener) <-chan struct{} {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	return goRun(ctx, func(ctx context.Context) {
+		defer stop()
+		for {
+			conn, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				pause(ctx, drainPoll)
+				continue
+			}
+			e.sessions.Go(func() { e.accept(ctx, conn) })
+		}
+	})
+}
+
+func (e *Entry) accept(ctx context.Context, conn net.Conn) {
+	s, control, hello, err := peer.Accept(conn)
+	if err != nil {
+		e.log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
+		return
+	}
+	defer s.Close()
+	defer context.AfterFunc(ctx, s.Close)()
+	if hello.GetRole() == peer.RoleAgent {
+		err = e.serveAgent(s, control, hello)
+	} else {
+		err = e.servePeer(ctx, s, control, hello)
+	}
+	e.log.Info("session ended", "role", hello.GetRole(), "peer", hello.GetId(), "error", errorText(err))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (e *Entry) entries() (list []*peerpb.EntryAddress, version uint64) {
+	for _, a := range e.control.known {
+		list = append(list, a)
+	}
+	return list, e.control.knownAt
+}
+
+// serveAgent answers an agent's heartbeats until the session ends.
+func (e *Entry) serveAgent(s *peer.Session, control *peer.Stream, hello *peerpb.Hello) error {
+	a := &agentSession{hello: hello, session: s, targets: map[string]*route.Target{}, seen: time.Now()}
+	welcome := &peerpb.Welcome{Id: e.options.ID, DataCentre: e.options.DataCentre}
+	_ = e.loop.Do(func() {
+		welcome.Entries, a.knownSent = e.entries()
+		e.replaceAgent(a)
+	})
+	defer func() {
+		_ = e.loop.Do(func() { e.removeAgent(a) })
+	}()
+	e.log.Info("agent connected", "agent", hello.GetId(), "incarnation", hello.GetIncarnation(), "rack", hello.GetRack())
+	if err := control.SendWelcome(welcome); err != nil {
+		return err
+	}
+	for {
+		control.SetDeadline(time.Now().Add(silenceLimit))
+		f, err := control.Receive()
+		if err != nil {
+			return err
+		}
+		report := f.GetReport()
+		if report == nil {
+			return peer.ErrProtocol
+		}
+		e.learnDocument(report.GetKnown())
+		if err := control.Send(peer.UpdateFrame(e.answer(a, report))); err != nil {
+			return err
+		}
+	}
+}
+
+// replaceAgent takes a new session of an agent in place of an older one; it runs on the loop.
+func (e *Entry) replaceAgent(a *agentSession) {
+	if old := e.control.agents[a.hello.GetId()]; old != nil {
+		e.dropTargets(old)
+		old.session.Close()
+	}
+	e.control.agents[a.hello.GetId()] = a
+}
+
+func (e *Entry) removeAgent(a *agentSession) {
+	e.dropTargets(a)
+	if e.control.agents[a.hello.GetId()] == a {
+		delete(e.control.agents, a.hello.GetId())
+	}
+	e.publish()
+}
+
+func (e *Entry) dropTargets(a *agentSession) {
+	for _, t := range a.targets {
+		t.Close()
+	}
+}
+
+// answer takes in a heartbeat and returns what the agent is told.
+func (e *Entry) answer(a *agentSession, r *peerpb.Report) *peerpb.Update {
+	current := e.options.Holder.Current()
+	update := &peerpb.Update{Sequence: r.GetSequence()}
+	var cellName string
+	_ = e.loop.Do(func() {
+		e.observe(a, r)
+		cellName = a.cell
+		if a.knownSent != e.control.knownAt {
+			update.Entries, a.knownSent = e.entries()
+		}
+	})
+	if owner := e.cells.owner(cellName); owner != nil {
+		info := cell.WorkerInfo{Name: a.hello.GetId(), Rack: a.hello.GetRack(), Incarnation: a.hello.GetIncarnation()}
+		if u := owner.Report(info, r); u != nil {
+			u.Entries = update.Entries
+			update = u
+		}
+	}
+	update.Revision = current.Revision()
+	if r.GetRevision() < current.Revision() {
+		update.Slice = e.slice(a, r, current)
+	}
+	return update
+}
+
+// observe takes in a heartbeat; it runs on the loop.
+func (e *Entry) observe(a *agentSession, r *peerpb.Report) {
+	now := time.Now()
+	a.report, a.seen = r, now
+	a.cell = e.cells.of(a.hello, r)
+	changed := false
+	listed := map[string]bool{}
+	for _, u := range mergeByService(r.GetUpstreams()) {
+		listed[u.GetService()] = true
+		t := a.targets[u.GetService()]
+		if t == nil {
+			t = route.NewTarget(a.hello.GetId(), a.hello.GetDataCentre(), u.GetService(), a.hello.GetIncarnation(), a.session)
+			a.targets[u.GetService()] = t
+			changed = true
+		}
+		t.Observe(now, u, true)
+	}
+	for service, t := range a.targets {
+		if !listed[service] {
+			t.Close()
+			delete(a.targets, service)
+			changed = true
+		}
+	}
+	if changed {
+		e.publish()
+	}
+}
+
+// mergeByService adds up the upstreams of a service behind one agent.
+func mergeByService(states []*peerpb.UpstreamState) map[string]*peerpb.UpstreamState {
+	merged := make(map[string]*peerpb.UpstreamState, len(states))
+	for _, s := range states {
+		m := merged[s.GetService()]
+		if m == nil {
+			merged[s.GetService()] = s
+			continue
+		}
+		if s.GetReady() && !s.GetDraining() {
+			if !m.GetReady() || m.GetDraining() {
+				merged[s.GetService()] = s
+				continue
+			}
+			m.Slots += s.GetSlots()
+			m.InFlight += s.GetInFlight()
+			m.Queued += s.GetQueued()
+		}
+	}
+	return merged
+}
+
+// slice cuts what an agent needs out of the document. A few agents get the whole, so that
+// a new entry can learn it from them while the key-value service is down.
+func (e *Entry) slice(a *agentSession, r *peerpb.Report, current *config.Current) *peerpb.Slice {
+	d := current.Document()
+	s := &peerpb.Slice{Revision: current.Revision(), Environment: d.Environment, Guards: d.Guards.Enabled}
+	for _, u := range r.GetUpstreams() {
+		s.Kinds = append(s.Kinds, kindSlices(d.Service(u.GetService()))...)
+	}
+	agents := 0
+	_ = e.loop.Do(func() { agents = len(e.control.agents) })
+	if agents <= keepers || xxhash.Sum64String(a.hello.GetId())%uint64(agents) < keepers {
+		s.Document = pack(current.Raw())
+	}
+	return s
+}
+
+func kindSlices(s *document.Service) (kinds []*peerpb.KindSlice) {
+	if s == nil {
+		return nil
+	}
+	for _, k := range s.Kinds {
+		kinds = append(kinds, &peerpb.KindSlice{
+			Service: s.Name, Kind: k.Name, Urgency: int32(k.Urgency.Rank()), TargetMicros: k.Target.D().Microseconds(),
+		})
+	}
+	return kinds
+}
+
+func pack(raw []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(raw)
+	_ = w.Close()
+	return b.Bytes()
+}
+
+func unpack(packed []byte) (raw []byte, err error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, documentMaxBytes))
+}
+
+// learnDocument puts a document in force that an agent or a peer knows and this entry
+// does not.
+func (e *Entry) learnDocument(s *peerpb.Slice) {
+	if len(s.GetDocument()) == 0 || s.GetEnvironment() != e.options.Holder.Environment() ||
+		s.GetRevision() <= e.options.Holder.Current().Revision() {
+		return
+	}
+	raw, err := unpack(s.GetDocument())
+	if err != nil {
+		e.log.Warn("document from a peer is damaged", "error", err.Error())
+		return
+	}
+	changed, err := e.options.Holder.Offer(s.GetRevision(), raw)
+	if err != nil {
+		e.log.Warn("document from a peer is not valid", "error", err.Error())
+		return
+	}
+	if changed {
+		e.options.Metrics.Revision.Set(float64(s.GetRevision()))
+		e.log.Info("configuration in force", "revision", s.GetRevision(), "source", "peer")
+	}
+}
+
+// publish makes a new routing table; it runs on the loop.
+func (e *Entry) publish() {
+	t := &route.Table{
+		Services:   map[string][]*route.Target{},
+		Neighbours: map[string][]*route.Neighbour{},
+		Entries:    map[string][]*route.Neighbour{},
+	}
+	for _, a := range e.control.agents {
+		if a.hello.GetDataCentre() != e.options.DataCentre && e.served(a.hello.GetDataCentre()) {
+			continue
+		}
+		for service, target := range a.targets {
+			t.Services[service] = append(t.Services[service], target)
+		}
+	}
+	e.publishPeers(t)
+	e.options.Metrics.Agents.Set(float64(len(e.control.agents)))
+	e.options.Router.Publish(t)
+}
+
+// served reports whether a peer entry serves a data centre.
+func (e *Entry) served(dataCentre string) bool {
+	for _, p := range e.control.peers {
+		if p.state.GetDataCentre() == dataCentre && !p.state.GetDraining() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/problem"
+	"github.com/jasminebay/jasminebay/internal/route"
+	"github.com/jasminebay/jasminebay/pkg/client"
+	"github.com/jasminebay/jasminebay/pkg/document"
+)
+
+// Limits towards callers and operators.
+const (
+	headerMaxBytes    = 32 << 10
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	bodyReadTimeout   = 30 * time.Second
+	timeoutMax        = 10 * time.Minute
+	keyMaxBytes       = 255
+	drainingRetry     = time.Second
+	bodiesFullRetry   = time.Second
+	upstreamPathStart = "/"
+)
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes,
+	}
+}
+
+func newContainer(services ...*restful.WebService) *restful.Container {
+	c := restful.NewContainer()
+	c.Router(restful.CurlyRouter{})
+	// net/http ends a connection whose answer broke off by a panic of its own.
+	c.DoNotRecover(true)
+	c.ServiceErrorHandler(func(err restful.ServiceError, _ *restful.Request, w *restful.Response) {
+		problem.Write(w, err.Code, "not-served", strings.TrimSpace(err.Message))
+	})
+	for _, s := range services {
+		c.Add(s)
+	}
+	return c
+}
+
+func (e *Entry) callerServer() *http.Server {
+	ws := new(restful.WebService)
+	ws.Path("/v1")
+	ws.Route(ws.POST("/services/{service}/requests").To(e.postRequest).Consumes("*/*").Produces("*/*"))
+	ws.Route(ws.POST("/services/{service}/requests/{path:*}").To(e.postRequest).Consumes("*/*").Produces("*/*"))
+	e.addJobRoutes(ws)
+	health := new(restful.WebService)
+	health.Path("/")
+	e.addHealthRoutes(health)
+	return newServer(newContainer(ws, health))
+}
+
+func (e *Entry) addHealthRoutes(ws *restful.WebService) {
+	ws.Route(ws.GET("/healthz").To(func(_ *restful.Request, w *restful.Response) { _, _ = io.WriteString(w, "ok\n") }))
+	ws.Route(ws.GET("/readyz").To(e.getReady))
+}
+
+func (e *Entry) getReady(_ *restful.Request, w *restful.Response) {
+	switch {
+	case e.draining.Load():
+		problem.Write(w, http.StatusServiceUnavailable, "not-ready", "draining")
+	case e.options.Holder.Current() == nil:
+		problem.Write(w, http.StatusServiceUnavailable, "not-ready", "no configuration is known yet")
+	default:
+		_, _ = io.WriteString(w, "ready\n")
+	}
+}
+
+// postRequest routes one request and passes the answer on.
+func (e *Entry) postRequest(r *restful.Request, w *restful.Response) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	q, p := e.parseRequest(r)
+	if p != nil {
+		problem.Send(w, *p)
+		return
+	}
+	if e.draining.Load() {
+		problem.RetryAfter(w, drainingRetry)
+		problem.Send(w, problem.Problem{Type: "draining", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "this entry is leaving", RequestID: q.ID})
+		return
+	}
+	release, p := e.readBody(r.Request, w, q)
+	if p != nil {
+		problem.Send(w, *p)
+		return
+	}
+	defer release()
+	reply := e.options.Router.Serve(r.Request.Context(), q)
+	defer reply.Close()
+	w.Header().Set(client.HeaderRequestID, q.ID)
+	if reply.Outcome != route.OutcomeAnswered {
+		writeOutcome(w, q, reply)
+		return
+	}
+	writeAnswer(w, reply)
+}
+
+// parseRequest reads what the headers say of a request.
+func (e *Entry) parseRequest(r *restful.Request) (*route.Request, *problem.Problem) {
+	invalid := func(status int, kind, format string, args ...any) (*route.Request, *problem.Problem) {
+		return nil, &problem.Problem{Type: kind, Status: status, Outcome: problem.OutcomeNotRun, Detail: fmt.Sprintf(format, args...)}
+	}
+	d := e.options.Holder.Document()
+	if d == nil {
+		return invalid(http.StatusServiceUnavailable, "no-configuration", "no configuration is known yet")
+	}
+	name := r.PathParameter("service")
+	service := d.Service(name)
+	if service == nil {
+		return invalid(http.StatusNotFound, "unknown-service", "the configuration has no service %q", name)
+	}
+	kindName := r.HeaderParameter(client.HeaderKind)
+	kind := service.Kind(kindName)
+	if kind == nil {
+		return invalid(http.StatusBadRequest, "unknown-kind", "header %s: service %s has no kind %q", client.HeaderKind, name, kindName)
+	}
+	timeout, err := parseTimeout(r.HeaderParameter(client.HeaderTimeout), kind)
+	if err != nil {
+		return invalid(http.StatusBadRequest, "invalid-timeout", "header %s: %v", client.HeaderTimeout, err)
+	}
+	key := r.HeaderParameter(client.HeaderIdempotencyKey)
+	if len(key) > keyMaxBytes {
+		return invalid(http.StatusBadRequest, "invalid-key", "header %s: %d bytes, at most %d are allowed", client.HeaderIdempotencyKey, len(key), keyMaxBytes)
+	}
+	if r.Request.ContentLength > peer.BodyMaxBytes {
+		return invalid(http.StatusRequestEntityTooLarge, "too-large", "body of %d bytes, at most %d are allowed", r.Request.ContentLength, peer.BodyMaxBytes)
+	}
+	return &route.Request{
+		ID: route.NewID(), Service: name, Kind: kind.Name, Urgency: kind.Urgency.Rank(), Idempotent: kind.Idempotent,
+		Key: key, Path: upstreamPath(r), ContentType: r.HeaderParameter("Content-Type"), Deadline: time.Now().Add(timeout),
+	}, nil
+}
+
+// upstreamPath is the path and query at the upstream: what follows "requests".
+func upstreamPath(r *restful.Request) string {
+	path := upstreamPathStart + r.PathParameter("path")
+	if r.Request.URL.RawQuery != "" {
+		path += "?" + r.Request.URL.RawQuery
+	}
+	return path
+}
+
+// parseTimeout reads a timeout, which may be shorter or longer than that of the kind.
+func parseTimeout(text string, kind *document.Kind) (time.Duration, error) {
+	if text == "" {
+		return kind.Timeout.D(), nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, fmt.Errorf("want a duration such as 250ms, got %q", text)
+	}
+	if timeout <= 0 || timeout > timeoutMax {
+		return 0, fmt.Errorf("%v is not in 0s to %v", timeout, timeoutMax)
+	}
+	return timeout, nil
+}
+
+// readBody reads the body into q, within the bound on all bodies, and returns a function
+// that gives the room back.
+func (e *Entry) readBody(r *http.Request, w http.ResponseWriter, q *route.Request) (func(), *problem.Problem) {
+	reserved := r.ContentLength
+	if reserved < 0 {
+		reserved = peer.BodyMaxBytes
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
+	defer cancel()
+	if e.bodies.Acquire(ctx, reserved) != nil {
+		problem.RetryAfter(w, bodiesFullRetry)
+		return nil, &problem.Problem{Type: "full", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "too many bodies are being received", RequestID: q.ID}
+	}
+	release := func() { e.bodies.Release(reserved) }
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, peer.BodyMaxBytes), r.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		q.Body = body
+		return release, nil
+	}
+	release()
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &problem.Problem{Type: "too-large", Status: http.StatusRequestEntityTooLarge, Outcome: problem.OutcomeNotRun, Detail: fmt.Sprintf("at most %d bytes are allowed", tooLarge.Limit), RequestID: q.ID}
+	}
+	return nil, &problem.Problem{Type: "incomplete-body", Status: http.StatusBadRequest, Outcome: problem.OutcomeNotRun, Detail: "the body was not received whole in time", RequestID: q.ID}
+}
+
+// readAll reads a body into one buffer of the announced length.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+func writeOutcome(w http.ResponseWriter, q *route.Request, reply *route.Reply) {
+	p := problem.Problem{Type: reply.Outcome.String(), Outcome: reply.Outcome.String(), Detail: reply.Detail, RequestID: q.ID}
+	switch reply.Outcome {
+	case route.OutcomeNotRun:
+		p.Status = http.StatusServiceUnavailable
+		problem.RetryAfter(w, reply.RetryAfter)
+	case route.OutcomeRan:
+		p.Status = http.StatusConflict
+	default:
+		p.Status = http.StatusGatewayTimeout
+		if reply.RetryAfter > 0 {
+			problem.RetryAfter(w, reply.RetryAfter)
+		}
+	}
+	if p.Detail == "" {
+		p.Detail = "refused: " + strings.ToLower(strings.TrimPrefix(reply.Reason.String(), "REASON_"))
+	}
+	problem.Send(w, p)
+}
+
+// writeAnswer passes the upstream's answer on. One that breaks off ends the connection, so
+// that the caller can't take it for whole.
+func writeAnswer(w http.ResponseWriter, reply *route.Reply) {
+	for _, h := range reply.Head.GetHeaders() {
+		w.Header().Add(h.GetName(), h.GetValue())
+	}
+	w.Header().Set(client.HeaderUpstream, reply.Head.GetUpstream())
+	if !reply.Partial && w.Header().Get("Content-Length") == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	}
+	w.WriteHeader(int(reply.Head.GetStatus()))
+	_, err := w.Write(reply.Body)
+	if !reply.Partial {
+		return
+	}
+	for err == nil {
+		var part []byte
+		if part, err = reply.Next(); err == nil && part == nil {
+			return
+		}
+		if err == nil {
+			_, err = w.Write(part)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/entry/cells.go
@@ -0,0 +1,379 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminebay/jasminebay/internal/cell"
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// Times of the ownership of cells.
+const (
+	considerInterval = 500 * time.Millisecond
+	takeTimeout      = 5 * time.Second
+	// rankDelay is how much longer each next entry waits before it takes a cell.
+	rankDelay = 2 * time.Second
+	// awayDelay is how long a data centre must be without an entry before the entries of
+	// others take its cells.
+	awayDelay = 30 * time.Second
+	// goneDelay is how long an owner must be missing from the registry.
+	goneDelay   = 2 * time.Second
+	gossipFresh = 3 * time.Second
+	loadsFresh  = 400 * time.Millisecond
+)
+
+// cells keeps the cells that this entry owns and what others say of theirs; it is safe for
+// concurrent use.
+type cells struct {
+	e        *Entry
+	mu       sync.Mutex
+	owners   map[string]*cell.Owner
+	stops    map[string]context.CancelFunc
+	heard    map[string]heard
+	free     map[string]time.Time
+	cached   []*peerpb.CellLoad
+	cachedAt time.Time
+	running  sync.WaitGroup
+	// ctx ends when the entry gives up its cells.
+	ctx context.Context
+}
+
+// heard is a peer's word on a cell that it owns.
+type heard struct {
+	entry string
+	at    time.Time
+	load  *peerpb.CellLoad
+}
+
+func (c *cells) init(e *Entry) {
+	c.e = e
+	c.owners = map[string]*cell.Owner{}
+	c.stops = map[string]context.CancelFunc{}
+	c.heard = map[string]heard{}
+	c.free = map[string]time.Time{}
+}
+
+func cellName(dataCentre string, n uint64) string { return fmt.Sprintf("%s.%d", dataCentre, n) }
+
+// dataCentreOf returns the data centre of a cell.
+func dataCentreOf(name string) string {
+	i := strings.LastIndexByte(name, '.')
+	return name[:max(i, 0)]
+}
+
+// of returns the cell that an agent's worker belongs to. One that runs tasks stays in the
+// cell that started them.
+func (c *cells) of(hello *peerpb.Hello, r *peerpb.Report) string {
+	if r.GetCell() != "" && len(r.GetTasks()) > 0 {
+		return r.GetCell()
+	}
+	d := c.e.options.Holder.Document()
+	if d == nil {
+		return ""
+	}
+	return cellName(hello.GetDataCentre(), xxhash.Sum64String(hello.GetId())%uint64(d.Cells(hello.GetDataCentre())))
+}
+
+// owner returns the owner of a cell if it is in this process, or nil.
+func (c *cells) owner(name string) *cell.Owner {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owners[name]
+}
+
+// run takes cells that nobody owns until ctx ends, and then gives up its own.
+func (c *cells) run(ctx context.Context) {
+	defer c.running.Wait()
+	c.ctx = ctx
+	for ctx.Err() == nil {
+		for _, name := range c.candidates() {
+			if ctx.Err() == nil && c.owner(name) == nil {
+				c.consider(ctx, name)
+			}
+		}
+		c.yield()
+		pause(ctx, considerInterval)
+	}
+}
+
+// candidates lists the cells that this entry may own: those of its data centre, and of
+// data centres that have no entry.
+func (c *cells) candidates() (names []string) {
+	d := c.e.options.Holder.Document()
+	if d == nil {
+		return nil
+	}
+	served := c.served()
+	for _, dc := range d.DataCentres {
+		if served[dc.Name] && dc.Name != c.e.options.DataCentre {
+			continue
+		}
+		for n := range dc.Cells {
+			names = append(names, cellName(dc.Name, uint64(n)))
+		}
+	}
+	if len(names) == 0 || !slices.ContainsFunc(names, func(n string) bool { return dataCentreOf(n) == c.e.options.DataCentre }) {
+		names = append(names, cellName(c.e.options.DataCentre, 0))
+	}
+	return names
+}
+
+// consider takes a cell if its owner is gone and this entry is the first in line.
+func (c *cells) consider(ctx context.Context, name string) {
+	if c.ownedElsewhere(name) || !c.e.registered.Load() {
+		c.clearFree(name)
+		return
+	}
+	free := time.Since(c.freeSince(name))
+	if free < time.Duration(c.rank(name))*rankDelay || c.away(name) && free < awayDelay {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	head, _, err := cell.ReadHead(ctx, c.e.options.Store, name)
+	if err != nil {
+		c.e.options.Metrics.StoreErrors.WithLabelValues("head").Inc()
+		return
+	}
+	if owner := head.GetOwner(); owner != "" && !head.GetReleased() && owner != c.e.instance {
+		if c.alive(owner) {
+			c.clearFree(name)
+			return
+		}
+		if free < goneDelay {
+			return
+		}
+	}
+	c.take(ctx, name)
+}
+
+// away reports whether a cell belongs to another data centre.
+func (c *cells) away(name string) bool { return dataCentreOf(name) != c.e.options.DataCentre }
+
+// yield gives up the cells of other data centres that have an entry again.
+func (c *cells) yield() {
+	served := c.served()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, stop := range c.stops {
+		if c.away(name) && served[dataCentreOf(name)] {
+			c.e.log.Info("cell yielded to its data centre", "cell", name)
+			stop()
+		}
+	}
+}
+
+// served lists the data centres that have an entry.
+func (c *cells) served() map[string]bool {
+	served := map[string]bool{}
+	_ = c.e.loop.Do(func() {
+		for _, a := range c.e.control.known {
+			served[a.GetDataCentre()] = true
+		}
+	})
+	return served
+}
+
+// ownedElsewhere reports whether a peer has lately said that it owns the cell.
+func (c *cells) ownedElsewhere(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, ok := c.heard[name]
+	return ok && time.Since(h.at) < gossipFresh
+}
+
+// freeSince returns since when the cell has seemed to have no owner.
+func (c *cells) freeSince(name string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.free[name].IsZero() {
+		c.free[name] = time.Now()
+	}
+	return c.free[name]
+}
+
+func (c *cells) clearFree(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.free, name)
+}
+
+// rank returns how many entries go before this one in the order for a cell: those of the
+// cell's data centre first, then by a hash, so that cells spread over the entries.
+func (c *cells) rank(name string) (rank int) {
+	type place struct {
+		away bool
+		hash uint64
+	}
+	weigh := func(a *peerpb.EntryAddress) place {
+		return place{a.GetDataCentre() != dataCentreOf(name), xxhash.Sum64String(name + "\x00" + a.GetId())}
+	}
+	mine := weigh(c.e.address())
+	_ = c.e.loop.Do(func() {
+		for id, a := range c.e.control.known {
+			other := weigh(a)
+			if id != c.e.options.ID && (mine.away && !other.away || mine.away == other.away && other.hash < mine.hash) {
+				rank++
+			}
+		}
+	})
+	return rank
+}
+
+// alive reports whether the instance of an entry is registered.
+func (c *cells) alive(instance string) (alive bool) {
+	id, _, _ := strings.Cut(instance, "/")
+	_ = c.e.loop.Do(func() { alive = c.e.control.instance[id] == instance })
+	return alive
+}
+
+func (c *cells) take(ctx context.Context, name string) {
+	owner, err := cell.Take(ctx, cell.Options{
+		Cell:     name,
+		Identity: cell.Identity{Entry: c.e.instance, Address: c.e.options.Advertise},
+		Store:    c.e.options.Store, Agents: c.e, Placer: c.e.options.Placer,
+		Document:         c.e.options.Holder.Document,
+		Elsewhere:        func(team string) driver.Resources { return c.elsewhere(name, team) },
+		LargestElsewhere: func() driver.Resources { return c.largestElsewhere(name) },
+		Grant:            c.e.options.Grant, Margin: c.e.options.Margin, StoreSilence: c.e.options.StoreSilence,
+		Retention: cell.DefaultRetention, Log: c.e.log, Metrics: c.e.options.Metrics,
+	})
+	if err != nil {
+		c.e.log.Warn("cell was not taken", "cell", name, "error", err.Error())
+		return
+	}
+	running, stop := context.WithCancel(c.ctx)
+	c.mu.Lock()
+	c.owners[name], c.stops[name] = owner, stop
+	delete(c.free, name)
+	c.mu.Unlock()
+	c.e.options.Metrics.CellsOwned.Inc()
+	c.running.Go(func() {
+		defer stop()
+		c.runOwner(running, name, owner)
+	})
+}
+
+// runOwner runs an owner until the entry stops or the cell is lost.
+func (c *cells) runOwner(ctx context.Context, name string, owner *cell.Owner) {
+	if err := owner.Run(ctx); err != nil {
+		c.e.log.Warn("cell lost", "cell", name, "error", err.Error())
+	}
+	c.mu.Lock()
+	delete(c.owners, name)
+	delete(c.stops, name)
+	c.mu.Unlock()
+	c.e.options.Metrics.CellsOwned.Dec()
+}
+
+// learn takes in a peer's word on its cells.
+func (c *cells) learn(state *peerpb.PeerState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range state.GetCells() {
+		if h, ok := c.heard[l.GetCell()]; !ok || l.GetEpoch() >= h.load.GetEpoch() {
+			c.heard[l.GetCell()] = heard{entry: state.GetId(), at: time.Now(), load: l}
+		}
+	}
+}
+
+// loads returns the headroom of the cells that this entry owns.
+func (c *cells) loads() []*peerpb.CellLoad {
+	c.mu.Lock()
+	fresh := time.Since(c.cachedAt) < loadsFresh
+	cached := c.cached
+	owners := make([]*cell.Owner, 0, len(c.owners))
+	for _, o := range c.owners {
+		owners = append(owners, o)
+	}
+	c.mu.Unlock()
+	if fresh {
+		return cached
+	}
+	loads := make([]*peerpb.CellLoad, 0, len(owners))
+	for _, o := range owners {
+		loads = append(loads, o.Load())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cached, c.cachedAt = loads, time.Now()
+	return loads
+}
+
+// others calls f with the load of each cell but one.
+func (c *cells) others(but string, f func(*peerpb.CellLoad)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.cached {
+		if l.GetCell() != but {
+			f(l)
+		}
+	}
+	for name, h := range c.heard {
+		if name != but && c.owners[name] == nil && time.Since(h.at) < gossipFresh {
+			f(h.load)
+		}
+	}
+}
+
+func (c *cells) elsewhere(but, team string) (sum driver.Resources) {
+	c.others(but, func(l *peerpb.CellLoad) {
+		for _, t := range l.GetTeams() {
+			if t.GetTeam() == team {
+				sum = sum.Plus(fromProto(t.GetReserved()))
+			}
+		}
+	})
+	return sum
+}
+
+func (c *cells) largestElsewhere(but string) (largest driver.Resources) {
+	c.others(but, func(l *peerpb.CellLoad) { largest = largest.Max(fromProto(l.GetLargest())) })
+	return largest
+}
+
+func fromProto(r *peerpb.Resources) driver.Resources {
+	return driver.NewResources(r.GetMilliCpu(), r.GetMemoryBytes(), r.GetAccelerators())
+}
+
+// Start implements driver.Agents.
+func (e *Entry) Start(ctx context.Context, worker string, s *peerpb.StartTask) (*peerpb.TaskReply, error) {
+	return e.command(ctx, worker, peer.StartFrame(s))
+}
+
+// Stop implements driver.Agents.
+func (e *Entry) Stop(ctx context.Context, worker string, s *peerpb.StopTask) (*peerpb.TaskReply, error) {
+	return e.command(ctx, worker, peer.StopFrame(s))
+}
+
+var errNoSession = errors.New("entry: no session to the agent")
+
+func (e *Entry) command(ctx context.Context, worker string, frame *peerpb.Frame) (*peerpb.TaskReply, error) {
+	var session *peer.Session
+	_ = e.loop.Do(func() {
+		if a := e.control.agents[worker]; a != nil {
+			session = a.session
+		}
+	})
+	if session == nil {
+		return nil, errNoSession
+	}
+	f, err := session.Call(ctx, frame)
+	if err != nil {
+		return nil, err
+	}
+	if f.GetTaskReply() == nil {
+		return nil, peer.ErrProtocol
+	}
+	return f.GetTaskReply(), nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/jasminebay/jasminebay/internal/loop"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+const (
+	// bodiesMaxBytes bounds the request bodies that are held at a time.
+	bodiesMaxBytes = 256 << 20
+	drainPoll      = 20 * time.Millisecond
+	tickInterval   = 250 * time.Millisecond
+	// leaveNotice is how long a leaving entry goes on accepting callers, so that the
+	// balancer sees that it is not ready.
+	leaveNotice = 500 * time.Millisecond
+)
+
+// Listeners are the sockets that an Entry serves.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+}
+
+// Entry is the process on an entry VM.
+type Entry struct {
+	options     Options
+	incarnation uint64
+	instance    string
+	loop        *loop.Loop
+	bodies      *semaphore.Weighted
+	inFlight    atomic.Int64
+	draining    atomic.Bool
+	registered  atomic.Bool
+	log         *slog.Logger
+	sessions    sync.WaitGroup
+	control     control
+	cells       cells
+}
+
+// control is the state that only the loop's goroutine touches.
+type control struct {
+	agents map[string]*agentSession
+	peers  map[string]*peerSession
+	// known lists the live entries, this one included.
+	known    map[string]*peerpb.EntryAddress
+	knownAt  uint64
+	instance map[string]string
+	sequence uint64
+}
+
+// New returns an Entry that does nothing until Run is called.
+func New(o Options) *Entry {
+	incarnation := rand.Uint64() | 1
+	e := &Entry{
+		options:     o,
+		incarnation: incarnation,
+		instance:    o.ID + "/" + strconv.FormatUint(incarnation, 36),
+		loop:        loop.New(),
+		bodies:      semaphore.NewWeighted(bodiesMaxBytes),
+		log:         o.Log.With("entry", o.ID, "data-centre", o.DataCentre),
+		control: control{
+			agents:   map[string]*agentSession{},
+			peers:    map[string]*peerSession{},
+			known:    map[string]*peerpb.EntryAddress{},
+			instance: map[string]string{},
+		},
+	}
+	e.control.known[o.ID] = e.address()
+	e.control.instance[o.ID] = e.instance
+	e.cells.init(e)
+	return e
+}
+
+func (e *Entry) address() *peerpb.EntryAddress {
+	return &peerpb.EntryAddress{Id: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Advertise}
+}
+
+// Run serves the listeners until ctx ends, then ends the requests in flight and returns.
+func (e *Entry) Run(ctx context.Context, l Listeners) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	loopContext, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	go e.loop.Run(loopContext)
+	callers, operators := e.callerServer(), e.operatorServer()
+	ends := []<-chan struct{}{
+		goServe(callers, l.Callers), goServe(operators, l.Operators),
+		e.goAccept(work, l.Peers), e.goDial(work), e.goRegister(work),
+		goRun(work, e.options.Watcher.Run), goRun(work, e.tick),
+	}
+	cellsContext, stopCells := context.WithCancel(work)
+	cellsEnd := goRun(cellsContext, e.cells.run)
+	e.log.Info("entry started", "incarnation", e.incarnation, "callers", l.Callers.Addr().String(),
+		"operators", l.Operators.Addr().String(), "peers", l.Peers.Addr().String())
+	<-ctx.Done()
+	e.drain(ctx, callers)
+	stopCells()
+	<-cellsEnd
+	stop()
+	_ = operators.Close()
+	_ = l.Peers.Close()
+	for _, end := range ends {
+		<-end
+	}
+	e.sessions.Wait()
+	stopLoop()
+	<-e.loop.Done()
+	return nil
+}
+
+// drain ends the requests in flight whole, within the drain timeout.
+func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+	began := time.Now()
+	count := e.inFlight.Load()
+	e.draining.Store(true)
+	e.log.Info("draining", "in-flight", count, "timeout", e.options.DrainTimeout.String())
+	time.Sleep(min(leaveNotice, e.options.DrainTimeout/4))
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.options.DrainTimeout)
+	defer cancel()
+	if err := callers.Shutdown(bounded); err != nil {
+		_ = callers.Close()
+	}
+	for e.inFlight.Load() > 0 && bounded.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	e.log.Info("drained", "in-flight-at-start", count, "cut-off", e.inFlight.Load(), "seconds", time.Since(began).Seconds())
+}
+
+// tick publishes the routing table and what peers are told, until ctx ends.
+func (e *Entry) tick(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			_ = e.loop.Do(e.publish)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func goRun(ctx context.Context, f func(context.Context)) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f(ctx)
+	}()
+	return done
+}
+
+func goServe(s *http.Server, l net.Listener) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	return done
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/register.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// Times of an entry's registration.
+const (
+	registrationTTL   = 6 * time.Second
+	registrationRenew = 2 * time.Second
+	registryPrefix    = "entries/"
+	storeTimeout      = 2 * time.Second
+)
+
+// registration is what an entry writes of itself into the key-value service.
+type registration struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data-centre"`
+	Address    string `json:"address"`
+	Instance   string `json:"instance"`
+}
+
+// goRegister keeps this entry's registration and the list of the others until ctx ends.
+func (e *Entry) goRegister(ctx context.Context) <-chan struct{} {
+	return goRun(ctx, func(ctx context.Context) {
+		var lease driver.Lease
+		for ctx.Err() == nil {
+			var err error
+			lease, err = e.register(ctx, lease)
+			if err == nil {
+				err = e.readRegistry(ctx)
+			}
+			e.registered.Store(err == nil)
+			if err != nil && ctx.Err() == nil {
+				e.options.Metrics.StoreErrors.WithLabelValues("register").Inc()
+				e.log.Warn("registration failed", "error", err.Error())
+			}
+			pause(ctx, registrationRenew)
+		}
+		e.deregister(context.WithoutCancel(ctx))
+	})
+}
+
+// register writes or renews the registration and returns its lease.
+func (e *Entry) register(ctx context.Context, lease driver.Lease) (next driver.Lease, err error) {
+	defer errs.Annotate(&err, "entry: register")
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if lease != "" {
+		err = e.options.Store.Renew(ctx, lease)
+		if err == nil || !errors.Is(err, driver.ErrNotFound) {
+			return lease, err
+		}
+	}
+	lease, err = e.options.Store.Grant(ctx, registrationTTL)
+	if err != nil {
+		return "", err
+	}
+	value, err := json.Marshal(registration{ID: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Advertise, Instance: e.instance})
+	if err != nil {
+		return "", err
+	}
+	item, err := e.options.Store.Get(ctx, registryPrefix+e.options.ID)
+	if err != nil && !errors.Is(err, driver.ErrNotFound) {
+		return "", err
+	}
+	_, err = e.options.Store.Swap(ctx, registryPrefix+e.options.ID, item.Revision(), value, lease)
+	if err != nil {
+		return "", err
+	}
+	return lease, nil
+}
+
+func (e *Entry) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := e.options.Store.Get(ctx, registryPrefix+e.options.ID)
+	var r registration
+	if err != nil || json.Unmarshal(item.Value(), &r) != nil || r.Instance != e.instance {
+		return
+	}
+	_ = e.options.Store.Delete(ctx, item.Key(), item.Revision())
+}
+
+// readRegistry replaces the known entries by those that are registered. One that is not
+// registered stays known while a session to it lives.
+func (e *Entry) readRegistry(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "entry: read registry")
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, _, err := e.options.Store.List(ctx, registryPrefix)
+	if err != nil {
+		return err
+	}
+	known := map[string]*peerpb.EntryAddress{e.options.ID: e.address()}
+	instances := map[string]string{e.options.ID: e.instance}
+	for _, item := range items {
+		var r registration
+		if json.Unmarshal(item.Value(), &r) != nil || r.ID == e.options.ID {
+			continue
+		}
+		known[r.ID] = &peerpb.EntryAddress{Id: r.ID, DataCentre: r.DataCentre, Address: r.Address}
+		instances[r.ID] = r.Instance
+	}
+	return e.loop.Do(func() { e.replaceKnown(known, instances) })
+}
+
+// replaceKnown runs on the loop.
+func (e *Entry) replaceKnown(known map[string]*peerpb.EntryAddress, instances map[string]string) {
+	for id, a := range e.control.known {
+		if p := e.control.peers[id]; known[id] == nil && p != nil && !p.state.GetDraining() && time.Since(p.seen) < silenceLimit {
+			known[id] = a
+		}
+	}
+	changed := len(known) != len(e.control.known)
+	for id, a := range known {
+		if old := e.control.known[id]; old == nil || old.GetAddress() != a.GetAddress() {
+			changed = true
+		}
+	}
+	e.control.known, e.control.instance = known, instances
+	if changed {
+		e.control.knownAt++
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,275 @@
+// Package gate admits requests to one upstream: it never lets more than the upstream's
+// slots be taken, and keeps a short queue by urgency and deadline in front of them.
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// Defaults of a Gate.
+const (
+	// QueuePerSlot is the number of requests that may wait for each slot.
+	QueuePerSlot = 2
+	// announcementsNeeded is how many announcements must agree before a slot counts as free
+	// although this process does not know how its request ended.
+	announcementsNeeded = 2
+	// settleTime is how far apart those announcements must be, so that a request that was
+	// still in a socket has reached the upstream in between.
+	settleTime = time.Second
+	// latencyWeight is the weight of a new sample in the latency average.
+	latencyWeight = 0.1
+)
+
+// Verdict is the gate's decision on a request.
+type Verdict struct {
+	Admitted   bool
+	Reason     peerpb.Reason
+	RetryAfter time.Duration
+}
+
+// Ticket is a request that asks for admission. Notify is called once, on the goroutine
+// that owns the gate, and must not block.
+type Ticket struct {
+	ID       string
+	Urgency  int
+	Deadline time.Time
+	Notify   func(Verdict)
+}
+
+// absence is a slot that is taken by a request whose end this process has not seen.
+type absence struct {
+	since   time.Time
+	missing int
+}
+
+// Gate guards one upstream; it is not safe for concurrent use.
+type Gate struct {
+	slots     int
+	queue     []*Ticket
+	held      map[string]time.Time
+	lost      map[string]*absence
+	draining  bool
+	announced time.Time
+	first     time.Time
+	count     int
+	latency   time.Duration
+}
+
+// New returns a Gate that admits nothing until the upstream has announced itself twice.
+func New() *Gate {
+	return &Gate{held: map[string]time.Time{}, lost: map[string]*absence{}}
+}
+
+// Ready reports whether the gate knows what the upstream runs.
+func (g *Gate) Ready(now time.Time) bool {
+	return g.Present(now) && g.count >= announcementsNeeded && g.announced.Sub(g.first) >= settleTime
+}
+
+// Present reports whether the upstream has announced itself lately.
+func (g *Gate) Present(now time.Time) bool {
+	return g.count > 0 && now.Sub(g.announced) < driver.AnnouncementTTL
+}
+
+// Draining reports whether the upstream or the agent is leaving.
+func (g *Gate) Draining() bool { return g.draining }
+
+// Drain refuses new requests from now on; queued ones are refused at once.
+func (g *Gate) Drain() {
+	g.draining = true
+	for _, t := range g.queue {
+		t.Notify(Verdict{Reason: peerpb.Reason_REASON_DRAINING})
+	}
+	g.queue = nil
+}
+
+// InFlight returns the number of slots that are or may be taken.
+func (g *Gate) InFlight() int { return len(g.held) + len(g.lost) }
+
+// Held returns the number of requests that this process has in flight.
+func (g *Gate) Held() int { return len(g.held) }
+
+// Queued returns the number of waiting requests.
+func (g *Gate) Queued() int { return len(g.queue) }
+
+// Slots returns the upstream's slots.
+func (g *Gate) Slots() int { return g.slots }
+
+// Latency returns the decayed average time that a request holds a slot.
+func (g *Gate) Latency() time.Duration { return g.latency }
+
+// Announce takes in what the upstream says of itself.
+func (g *Gate) Announce(now time.Time, slots int, draining bool, running []string) {
+	if !g.Present(now) {
+		g.first, g.count = now, 0
+	}
+	g.announced = now
+	g.count++
+	g.slots = slots
+	g.reconcile(now, running)
+	if draining && !g.draining {
+		g.Drain()
+	}
+	g.draining = draining
+	g.admit(now)
+}
+
+func (g *Gate) reconcile(now time.Time, running []string) {
+	listed := make(map[string]bool, len(running))
+	for _, id := range running {
+		listed[id] = true
+		if _, own := g.held[id]; !own && g.lost[id] == nil {
+			g.lost[id] = &absence{since: now}
+		}
+	}
+	for id, a := range g.lost {
+		switch {
+		case listed[id]:
+			a.missing = 0
+		case now.Sub(a.since) < settleTime:
+		default:
+			a.missing++
+		}
+		if a.missing >= announcementsNeeded {
+			delete(g.lost, id)
+		}
+	}
+}
+
+// Offer asks for admission of a request; its verdict reaches t.Notify now or later.
+func (g *Gate) Offer(now time.Time, t *Ticket) {
+	if reason := g.refusal(now, t); reason != peerpb.Reason_REASON_UNSPECIFIED {
+		t.Notify(Verdict{Reason: reason, RetryAfter: g.retryAfter()})
+		return
+	}
+	if len(g.queue) >= g.slots*QueuePerSlot && !g.displace(t) {
+		t.Notify(Verdict{Reason: peerpb.Reason_REASON_FULL, RetryAfter: g.retryAfter()})
+		return
+	}
+	at, _ := slices.BinarySearchFunc(g.queue, t, order)
+	g.queue = slices.Insert(g.queue, at, t)
+	g.admit(now)
+}
+
+func (g *Gate) refusal(now time.Time, t *Ticket) peerpb.Reason {
+	switch {
+	case !g.Present(now):
+		return peerpb.Reason_REASON_NO_UPSTREAM
+	case g.draining:
+		return peerpb.Reason_REASON_DRAINING
+	case !g.Ready(now):
+		return peerpb.Reason_REASON_REBUILDING
+	case !now.Before(t.Deadline):
+		return peerpb.Reason_REASON_EXPIRED
+	case g.InFlight() >= g.slots && now.Add(g.wait(t)).After(t.Deadline):
+		return peerpb.Reason_REASON_FULL
+	}
+	return peerpb.Reason_REASON_UNSPECIFIED
+}
+
+// wait estimates how long t would wait and then run.
+func (g *Gate) wait(t *Ticket) time.Duration {
+	ahead, _ := slices.BinarySearchFunc(g.queue, t, order)
+	return g.latency*time.Duration(ahead+1)/time.Duration(max(g.slots, 1)) + g.latency
+}
+
+func (g *Gate) retryAfter() time.Duration {
+	return g.latency * time.Duration(len(g.queue)+1) / time.Duration(max(g.slots, 1))
+}
+
+// displace drops the last request of the queue if t goes before it by urgency.
+func (g *Gate) displace(t *Ticket) bool {
+	if len(g.queue) == 0 {
+		return false
+	}
+	last := g.queue[len(g.queue)-1]
+	if last.Urgency >= t.Urgency {
+		return false
+	}
+	g.queue = g.queue[:len(g.queue)-1]
+	last.Notify(Verdict{Reason: peerpb.Reason_REASON_SHED, RetryAfter: g.retryAfter()})
+	return true
+}
+
+// Cancel takes a request out of the queue and reports whether it was still there.
+func (g *Gate) Cancel(id string) bool {
+	for i, t := range g.queue {
+		if t.ID == id {
+			g.queue = slices.Delete(g.queue, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// Release frees the slot of a request that is known to have ended at the upstream.
+func (g *Gate) Release(now time.Time, id string) {
+	began, ok := g.held[id]
+	if !ok {
+		return
+	}
+	delete(g.held, id)
+	sample := now.Sub(began)
+	if g.latency == 0 {
+		g.latency = sample
+	}
+	g.latency += time.Duration(latencyWeight * float64(sample-g.latency))
+	g.admit(now)
+}
+
+// Abandon ends a request that the upstream may still be running: its slot stays taken
+// until the upstream no longer lists it.
+func (g *Gate) Abandon(now time.Time, id string) {
+	if _, ok := g.held[id]; !ok {
+		return
+	}
+	delete(g.held, id)
+	g.lost[id] = &absence{since: now}
+}
+
+// Expire refuses waiting requests whose deadline has passed, and all of them if the
+// upstream has fallen silent.
+func (g *Gate) Expire(now time.Time) {
+	present := g.Present(now)
+	g.queue = slices.DeleteFunc(g.queue, func(t *Ticket) bool {
+		switch {
+		case !present:
+			t.Notify(Verdict{Reason: peerpb.Reason_REASON_NO_UPSTREAM})
+		case !now.Before(t.Deadline):
+			t.Notify(Verdict{Reason: peerpb.Reason_REASON_EXPIRED})
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+func (g *Gate) admit(now time.Time) {
+	if !g.Ready(now) {
+		return
+	}
+	for len(g.queue) > 0 && g.InFlight() < g.slots {
+		t := g.queue[0]
+		g.queue = g.queue[1:]
+		if !now.Before(t.Deadline) {
+			t.Notify(Verdict{Reason: peerpb.Reason_REASON_EXPIRED})
+			continue
+		}
+		g.held[t.ID] = now
+		t.Notify(Verdict{Admitted: true})
+	}
+}
+
+// order sorts by urgency, then by deadline; equals keep their order of arrival.
+func order(a, b *Ticket) int {
+	if a.Urgency != b.Urgency {
+		return b.Urgency - a.Urgency
+	}
+	if a.Deadline.After(b.Deadline) {
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/settings/agent.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+)
+
+const (
+	heartbeatMin = 100 * time.Millisecond
+	heartbeatMax = 2 * time.Second
+)
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	ID           string   `long:"id" env:"JASMINEBAY_ID" description:"name of this worker or upstream VM" value-name:"NAME" required:"yes"`
+	DataCentre   string   `long:"data-centre" env:"JASMINEBAY_DATA_CENTRE" description:"data centre of this VM" value-name:"NAME" required:"yes"`
+	Rack         string   `long:"rack" env:"JASMINEBAY_RACK" description:"rack of this VM" value-name:"NAME" default:"none"`
+	Entries      []string `long:"entry" env:"JASMINEBAY_ENTRIES" env-delim:"," description:"address of an entry or of the balancer in front of them; may be repeated" value-name:"IP:PORT" required:"yes"`
+	Listen       string   `long:"listen" env:"JASMINEBAY_LISTEN" description:"address for the upstream's announcements, health and metrics" value-name:"IP:PORT" default:"127.0.0.1:7090"`
+	Worker       string   `long:"worker" env:"JASMINEBAY_WORKER" description:"URL of the platform's worker on this VM; without it no tasks run here" value-name:"URL"`
+	ReserveCPU   int64    `long:"reserve-milli-cpu" env:"JASMINEBAY_RESERVE_MILLI_CPU" description:"processors kept for the upstreams, in thousandths" value-name:"AMOUNT" default:"0"`
+	ReserveBytes int64    `long:"reserve-memory-bytes" env:"JASMINEBAY_RESERVE_MEMORY_BYTES" description:"memory kept for the upstreams" value-name:"BYTES" default:"0"`
+	Heartbeat    string   `long:"heartbeat" env:"JASMINEBAY_HEARTBEAT" description:"time between heartbeats" value-name:"DURATION" default:"1s"`
+	DrainTimeout string   `long:"drain-timeout" env:"JASMINEBAY_DRAIN_TIMEOUT" description:"bound on ending the requests in flight on SIGTERM" value-name:"DURATION" default:"30s"`
+	LogLevel     string   `long:"log-level" env:"JASMINEBAY_LOG_LEVEL" description:"least level of log lines" value-name:"LEVEL" default:"info"`
+
+	parsed agentParsed
+}
+
+type agentParsed struct {
+	heartbeat, drain time.Duration
+	level            slog.Level
+}
+
+// Check returns a Faults with every setting that is wrong, or nil. The accessors below
+// are valid after it.
+func (s *Agent) Check() error {
+	var f Faults
+	f.name("id", s.ID)
+	f.name("data-centre", s.DataCentre)
+	f.name("rack", s.Rack)
+	for _, e := range s.Entries {
+		f.address("entry", e)
+	}
+	f.address("listen", s.Listen)
+	if s.Worker != "" {
+		f.url("worker", s.Worker)
+	}
+	f.amount("reserve-milli-cpu", s.ReserveCPU)
+	f.amount("reserve-memory-bytes", s.ReserveBytes)
+	s.parsed = agentParsed{
+		heartbeat: f.duration("heartbeat", s.Heartbeat, heartbeatMin, heartbeatMax),
+		drain:     f.duration("drain-timeout", s.DrainTimeout, drainMin, drainMax),
+		level:     f.level("log-level", s.LogLevel),
+	}
+	return f.err()
+}
+
+// HeartbeatInterval returns the time between heartbeats.
+func (s *Agent) HeartbeatInterval() time.Duration { return s.parsed.heartbeat }
+
+// Drain returns the bound on ending the requests in flight.
+func (s *Agent) Drain() time.Duration { return s.parsed.drain }
+
+// Level returns the least level of log lines.
+func (s *Agent) Level() slog.Level { return s.parsed.level }
+
+// Reservation returns what is kept for the upstreams.
+func (s *Agent) Reservation() driver.Resources {
+	return driver.NewResources(s.ReserveCPU, s.ReserveBytes, 0)
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Ranges of the settings.
+const (
+	drainMin   = 0
+	drainMax   = 10 * time.Minute
+	grantMin   = time.Second
+	grantMax   = 5 * time.Minute
+	silenceMin = 5 * time.Second
+	silenceMax = 6 * time.Hour
+)
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	ID           string   `long:"id" env:"JASMINEBAY_ID" description:"name of this entry" value-name:"NAME" required:"yes"`
+	DataCentre   string   `long:"data-centre" env:"JASMINEBAY_DATA_CENTRE" description:"data centre of this VM" value-name:"NAME" required:"yes"`
+	Environment  string   `long:"environment" env:"JASMINEBAY_ENVIRONMENT" description:"environment whose document is in force here" value-name:"NAME" default:"production"`
+	Callers      string   `long:"callers" env:"JASMINEBAY_CALLERS" description:"address that serves callers" value-name:"IP:PORT" default:"0.0.0.0:7080"`
+	Operators    string   `long:"operators" env:"JASMINEBAY_OPERATORS" description:"address that serves operators and metrics" value-name:"IP:PORT" default:"0.0.0.0:7081"`
+	Listen       string   `long:"listen" env:"JASMINEBAY_LISTEN" description:"address that serves agents and other entries" value-name:"IP:PORT" default:"0.0.0.0:7082"`
+	Advertise    string   `long:"advertise" env:"JASMINEBAY_ADVERTISE" description:"address at which agents and other entries reach this one" value-name:"IP:PORT" required:"yes"`
+	Store        string   `long:"store" env:"JASMINEBAY_STORE" description:"URL of the platform's key-value service" value-name:"URL" required:"yes"`
+	Peers        []string `long:"peer" env:"JASMINEBAY_PEERS" env-delim:"," description:"address of another entry, for when the key-value service is down; may be repeated" value-name:"IP:PORT"`
+	DrainTimeout string   `long:"drain-timeout" env:"JASMINEBAY_DRAIN_TIMEOUT" description:"bound on ending the requests in flight on SIGTERM" value-name:"DURATION" default:"30s"`
+	Grant        string   `long:"grant" env:"JASMINEBAY_GRANT" description:"how long a worker may run tasks after its last answered heartbeat" value-name:"DURATION" default:"15s"`
+	Margin       string   `long:"grant-margin" env:"JASMINEBAY_GRANT_MARGIN" description:"allowance for clock drift on top of a grant" value-name:"DURATION" default:"3s"`
+	StoreSilence string   `long:"store-silence" env:"JASMINEBAY_STORE_SILENCE" description:"how long grants are renewed while the key-value service does not answer" value-name:"DURATION" default:"10m"`
+	LogLevel     string   `long:"log-level" env:"JASMINEBAY_LOG_LEVEL" description:"least level of log lines" value-name:"LEVEL" default:"info"`
+
+	parsed entryParsed
+}
+
+type entryParsed struct {
+	drain, grant, margin, silence time.Duration
+	level                         slog.Level
+}
+
+// Check returns a Faults with every setting that is wrong, or nil. The accessors below
+// are valid after it.
+func (s *Entry) Check() error {
+	var f Faults
+	f.name("id", s.ID)
+	f.name("data-centre", s.DataCentre)
+	f.name("environment", s.Environment)
+	f.address("callers", s.Callers)
+	f.address("operators", s.Operators)
+	f.address("listen", s.Listen)
+	f.address("advertise", s.Advertise)
+	f.url("store", s.Store)
+	for _, p := range s.Peers {
+		f.address("peer", p)
+	}
+	s.parsed = entryParsed{
+		drain:   f.duration("drain-timeout", s.DrainTimeout, drainMin, drainMax),
+		grant:   f.duration("grant", s.Grant, grantMin, grantMax),
+		margin:  f.duration("grant-margin", s.Margin, 0, grantMax),
+		silence: f.duration("store-silence", s.StoreSilence, silenceMin, silenceMax),
+		level:   f.level("log-level", s.LogLevel),
+	}
+	return f.err()
+}
+
+// Drain returns the bound on ending the requests in flight.
+func (s *Entry) Drain() time.Duration { return s.parsed.drain }
+
+// GrantSpan returns the length of a grant.
+func (s *Entry) GrantSpan() time.Duration { return s.parsed.grant }
+
+// GrantMargin returns the allowance for clock drift.
+func (s *Entry) GrantMargin() time.Duration { return s.parsed.margin }
+
+// Silence returns how long grants are renewed without the key-value service.
+func (s *Entry) Silence() time.Duration { return s.parsed.silence }
+
+// Level returns the least level of log lines.
+func (s *Entry) Level() slog.Level { return s.parsed.level }
--- /dev/null
+++ b/internal/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs and metrics.
+package telemetry
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,66 @@
+package telemetry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const (
+	logBufferBytes   = 64 << 10
+	logFlushInterval = 100 * time.Millisecond
+)
+
+// LogWriter buffers log lines and writes them out within logFlushInterval; it is safe for
+// concurrent use. Lines of the last interval are lost if the process is killed.
+type LogWriter struct {
+	mu     sync.Mutex
+	buffer *bufio.Writer
+}
+
+// NewLogWriter returns a LogWriter over w.
+func NewLogWriter(w io.Writer) *LogWriter {
+	return &LogWriter{buffer: bufio.NewWriterSize(w, logBufferBytes)}
+}
+
+// Write implements io.Writer.
+func (l *LogWriter) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.Write(p)
+}
+
+// Flush writes out what is buffered.
+func (l *LogWriter) Flush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.buffer.Flush()
+}
+
+// Run flushes until ctx ends and closes the returned channel after a last flush.
+func (l *LogWriter) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer l.Flush()
+		t := time.NewTicker(logFlushInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				l.Flush()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return done
+}
+
+// NewLogger returns a logger that writes JSON lines at level and above.
+func NewLogger(w io.Writer, level slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+}
