Prove requests with real processes behind fault-injecting relays

Scripts under internal/scenario/testdata start entries and agents as processes and put a relay on each link: kills, freezes, cuts, one-way stalls, store outages and lost answers. The upstreams' and workers' own records judge.

--- /dev/null
+++ b/internal/scenario/main_test.go
@@ -0,0 +1,60 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var (
+	// binary is the program under test.
+	binary string
+	// raceFlags build it with the race detector if the tests run with it.
+	raceFlags []string
+)
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(standinRole); role != "" {
+		runStandin(role)
+		return
+	}
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "jasminebay")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "jasminebay")
+	build := exec.Command("go", append(append([]string{"build"}, raceFlags...), "-o", binary, "../../cmd/jasminebay")...)
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup:               setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"system": command(cmdSystem), "send": command(cmdSend), "finish": command(cmdFinish),
+			"judge": command(cmdJudge), "signal": command(cmdSignal), "start": command(cmdStart),
+			"link": command(cmdLink), "fault": command(cmdFault), "submit": command(cmdSubmit),
+			"await": command(cmdAwait), "job": command(cmdJob), "apply": command(cmdApply),
+			"inforce": command(cmdInForce), "sleep": command(cmdSleep), "ready": command(cmdReady),
+			"owners": command(cmdOwners), "logged": command(cmdLogged), "runs": command(cmdRuns),
+			"tasks": command(cmdTasks), "raw": command(cmdRaw), "amplification": command(cmdAmplification),
+		},
+	})
+}
--- /dev/null
+++ b/internal/scenario/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package scenario
+
+func init() { raceFlags = []string{"-race"} }
--- /dev/null
+++ b/internal/scenario/system_test.go
@@ -0,0 +1,440 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/standin/kv"
+	"github.com/jasminebay/jasminebay/internal/standin/upstream"
+	"github.com/jasminebay/jasminebay/internal/standin/worker"
+	"github.com/jasminebay/jasminebay/pkg/client"
+	"github.com/jasminebay/jasminebay/pkg/document"
+)
+
+const (
+	processWait = 40 * time.Second
+	pollEvery   = 20 * time.Millisecond
+)
+
+// system is a set of real processes with stand-ins around them.
+type system struct {
+	dir       string
+	document  *document.Document
+	raw       []byte
+	options   options
+	store     *kv.Server
+	storeURL  string
+	processes map[string]*process
+	order     []string
+	machines  map[string]*machine
+	relays    map[string]*relay
+	closers   []func()
+	mu        sync.Mutex
+	senders   map[string]*sender
+	jobs      map[string]string
+	outcomes  []outcome
+}
+
+// options tell how large a system is and how it behaves.
+type options struct {
+	example     string
+	entries     int
+	dataCentres int
+	runners     int
+	slots       int
+	connections int
+	capacity    driver.Resources
+	times       map[string]time.Duration
+	grant       time.Duration
+	margin      time.Duration
+	silence     time.Duration
+	policy      string
+	guards      bool
+}
+
+// machine is the stand-ins that one agent stands beside.
+type machine struct {
+	worker   *worker.Server
+	upstream *upstream.Server
+	agentURL string
+	workerURL,
+	dataCentre,
+	rack string
+}
+
+// process is one process of the system under test.
+type process struct {
+	name      string
+	arguments []string
+	command   *exec.Cmd
+	done      chan struct{}
+	callers   string
+	operators string
+	log       string
+	frozen    bool
+}
+
+func (s *system) close() {
+	for _, n := range s.senders {
+		n.stop()
+		<-n.done
+	}
+	for _, r := range s.relays {
+		r.set(mode{})
+	}
+	for _, p := range s.processes {
+		if p.command != nil {
+			_ = p.command.Process.Signal(syscall.SIGCONT)
+			_ = p.command.Process.Kill()
+			<-p.done
+		}
+	}
+	for i := len(s.closers) - 1; i >= 0; i-- {
+		s.closers[i]()
+	}
+	for _, r := range s.relays {
+		r.close()
+	}
+}
+
+// serve serves a stand-in inside the test's process.
+func (s *system) serve(h http.Handler, state func(net.Conn, http.ConnState)) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ConnState: state}
+	go func() { _ = server.Serve(l) }()
+	s.closers = append(s.closers, func() { _ = server.Close() })
+	return l.Addr().String(), nil
+}
+
+// relay puts a relay named name in front of an address.
+func (s *system) relay(name, address string) (string, error) {
+	r, err := newRelay(address)
+	if err != nil {
+		return "", err
+	}
+	s.relays[name] = r
+	return r.address(), nil
+}
+
+// freePort returns an address that nobody listens on.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func (s *system) boot() error {
+	s.store = kv.New(kv.Options{})
+	address, err := s.serve(s.store.Handler(), nil)
+	if err != nil {
+		return err
+	}
+	s.storeURL = "http://" + address
+	for i := range s.options.entries {
+		for _, dc := range s.document.DataCentres {
+			if err := s.addEntry(fmt.Sprintf("%s-%d", dc.Name, i), dc.Name); err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.firstDocument(); err != nil {
+		return err
+	}
+	for i := range s.options.runners {
+		if err := s.addMachine(i); err != nil {
+			return err
+		}
+	}
+	return s.ready()
+}
+
+func (s *system) firstDocument() error {
+	return until(func() error {
+		_, err := s.operator(s.order[0]).Apply(context.Background(), s.document.Environment, 0, s.raw)
+		return err
+	})
+}
+
+func (s *system) addEntry(name, dataCentre string) error {
+	listen, err := freePort()
+	if err != nil {
+		return err
+	}
+	advertise, err := s.relay(name, listen)
+	if err != nil {
+		return err
+	}
+	store, err := s.relay("store:"+name, strings.TrimPrefix(s.storeURL, "http://"))
+	if err != nil {
+		return err
+	}
+	callers, err := freePort()
+	if err != nil {
+		return err
+	}
+	operators, err := freePort()
+	if err != nil {
+		return err
+	}
+	p := &process{name: name, callers: "http://" + callers, operators: "http://" + operators, arguments: []string{
+		"entry", "--id", name, "--data-centre", dataCentre, "--environment", s.document.Environment,
+		"--callers", callers, "--operators", operators, "--listen", listen, "--advertise", advertise,
+		"--store", "http://" + store, "--drain-timeout", "10s", "--grant", s.options.grant.String(),
+		"--grant-margin", s.options.margin.String(), "--store-silence", s.options.silence.String(),
+	}}
+	for _, other := range s.order {
+		if r := s.relays[other]; r != nil {
+			p.arguments = append(p.arguments, "--peer", r.address())
+		}
+	}
+	return s.launch(p)
+}
+
+func (s *system) addMachine(i int) error {
+	dc := s.document.DataCentres[i%len(s.document.DataCentres)]
+	name := fmt.Sprintf("runner-%d", i)
+	m := &machine{dataCentre: dc.Name, rack: fmt.Sprintf("rack-%d", i/3)}
+	m.worker = worker.New(worker.Options{Name: name, Capacity: s.options.capacity})
+	workerAddress, err := s.serve(m.worker.Handler(), nil)
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go m.worker.Run(done)
+	s.closers = append(s.closers, func() { close(done) })
+	workerAddress, err = s.relay("worker:"+name, workerAddress)
+	if err != nil {
+		return err
+	}
+	m.workerURL = "http://" + workerAddress
+	listen, err := freePort()
+	if err != nil {
+		return err
+	}
+	m.agentURL = "http://" + listen
+	if err := s.addUpstream(name, m); err != nil {
+		return err
+	}
+	s.machines[name] = m
+	p := &process{name: name, operators: m.agentURL, arguments: []string{
+		"agent", "--id", name, "--data-centre", dc.Name, "--rack", m.rack, "--listen", listen,
+		"--worker", m.workerURL, "--heartbeat", "500ms", "--drain-timeout", "10s",
+	}}
+	for _, e := range s.order {
+		if r := s.relays[e]; r != nil && strings.HasPrefix(e, dc.Name) {
+			p.arguments = append(p.arguments, "--entry", r.address())
+		}
+	}
+	return s.launch(p)
+}
+
+func (s *system) addUpstream(name string, m *machine) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	address, err := s.relay("upstream:"+name, l.Addr().String())
+	if err != nil {
+		return err
+	}
+	m.upstream = upstream.New(upstream.Options{
+		Service: s.document.Services[0].Name, Address: "http://" + address, Agent: m.agentURL,
+		Slots: s.options.slots, Connections: s.options.connections,
+		ServiceTime: func(kind string) time.Duration { return s.options.times[kind] },
+	})
+	server := &http.Server{Handler: m.upstream.Handler(), ConnState: m.upstream.ConnState}
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go m.upstream.Announce(ctx)
+	s.closers = append(s.closers, func() {
+		cancel()
+		_ = server.Close()
+	})
+	return nil
+}
+
+// launch starts a process; its log goes to a file.
+func (s *system) launch(p *process) error {
+	p.log = filepath.Join(s.dir, p.name+".log")
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	p.command = exec.Command(binary, p.arguments...)
+	p.command.Stderr = out
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.done = make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) {
+		defer close(done)
+		_ = c.Wait()
+	}(p.command, p.done)
+	if s.processes[p.name] == nil {
+		s.processes[p.name] = p
+		s.order = append(s.order, p.name)
+	}
+	return nil
+}
+
+func (s *system) operator(name string) *client.Client {
+	return client.New(client.Options{Address: s.processes[name].operators, HTTP: &http.Client{Timeout: 8 * time.Second}})
+}
+
+// live lists the entries that run and are not frozen.
+func (s *system) live() (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range s.order {
+		p := s.processes[name]
+		if p.callers == "" || p.frozen {
+			continue
+		}
+		select {
+		case <-p.done:
+		default:
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// ready waits until every live entry knows every agent of its data centre and its
+// upstream, and the configuration is in force.
+func (s *system) ready() error {
+	return until(func() error {
+		for _, name := range s.live() {
+			upstreams, err := s.operator(name).Upstreams(context.Background())
+			if err != nil {
+				return err
+			}
+			count := 0
+			for _, u := range upstreams {
+				if u.Ready && !u.Draining {
+					count++
+				}
+			}
+			if want := s.agentsOf(name); count < want {
+				return fmt.Errorf("%s knows %d of %d upstreams", name, count, want)
+			}
+			if _, err := s.ask(s.processes[name].operators + "/readyz"); err != nil {
+				return err
+			}
+		}
+		return s.owned()
+	})
+}
+
+// owned reports whether each cell has an owner that has heard all its workers.
+func (s *system) owned() error {
+	for _, name := range s.live() {
+		jobs, err := s.operator(name).Jobs(context.Background())
+		if err != nil || jobs == nil {
+			return fmt.Errorf("%s lists no jobs: %v", name, err)
+		}
+	}
+	return nil
+}
+
+func (s *system) agentsOf(entry string) (count int) {
+	for name, m := range s.machines {
+		p := s.processes[name]
+		if p == nil || p.frozen || !strings.HasPrefix(entry, m.dataCentre) {
+			continue
+		}
+		select {
+		case <-p.done:
+		default:
+			count++
+		}
+	}
+	return count
+}
+
+func (s *system) ask(url string) (string, error) {
+	r, err := (&http.Client{Timeout: 5 * time.Second}).Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("%s: %s", url, r.Status)
+	}
+	body, err := io.ReadAll(r.Body)
+	return string(body), err
+}
+
+// until calls f until it succeeds or processWait has passed.
+func until(f func() error) error { return untilWithin(processWait, f) }
+
+func untilWithin(d time.Duration, f func() error) error {
+	deadline := time.Now().Add(d)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// Roles of the test's binary when it is started as a stand-in.
+const standinRole = "JASMINEBAY_TEST_STANDIN"
+
+// standinConfig tells a stand-in process what to be.
+type standinConfig struct {
+	Listen  string `json:"listen"`
+	Name    string `json:"name"`
+	Agent   string `json:"agent"`
+	Service string `json:"service"`
+}
+
+// runStandin serves a stand-in as a process of its own until it is killed.
+func runStandin(role string) {
+	var c standinConfig
+	if err := json.Unmarshal([]byte(os.Getenv("JASMINEBAY_TEST_CONFIG")), &c); err != nil {
+		panic(err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		panic(err)
+	}
+	server := &http.Server{}
+	switch role {
+	case "kv":
+		server.Handler = kv.New(kv.Options{}).Handler()
+	case "worker":
+		w := worker.New(worker.Options{Name: c.Name, Capacity: driver.NewResources(64_000, 250<<30, 2)})
+		go w.Run(make(chan struct{}))
+		server.Handler = w.Handler()
+	case "upstream":
+		u := upstream.New(upstream.Options{Service: c.Service, Address: "http://" + c.Listen, Agent: c.Agent, Slots: 8, Connections: 64})
+		go u.Announce(context.Background())
+		server.Handler, server.ConnState = u.Handler(), u.ConnState
+	}
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/scenario/traffic_test.go
@@ -0,0 +1,188 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminebay/jasminebay/pkg/client"
+)
+
+// outcome is what a caller was told of one request.
+type outcome struct {
+	id         string
+	kind       string
+	key        string
+	idempotent bool
+	result     string
+}
+
+// sender sends requests and keeps what came of them.
+type sender struct {
+	system      *system
+	name        string
+	kind        string
+	entries     []string
+	count       int
+	concurrency int
+	size        int
+	key         string
+	path        string
+	timeout     time.Duration
+	until       chan struct{}
+	once        sync.Once
+	done        chan struct{}
+	mu          sync.Mutex
+	counts      map[string]int
+	latencies   []time.Duration
+	upstreams   map[string]int
+}
+
+// run sends count requests, or as many as fit until the channel is closed.
+func (s *sender) run() {
+	defer close(s.done)
+	var wait sync.WaitGroup
+	limit := make(chan struct{}, s.concurrency)
+	for i := 0; s.count == 0 || i < s.count; i++ {
+		limit <- struct{}{}
+		if stopped(s.until) && s.count == 0 {
+			break
+		}
+		wait.Go(func() {
+			defer func() { <-limit }()
+			s.one(i)
+		})
+	}
+	wait.Wait()
+}
+
+// stop ends a sender that sends until it is told.
+func (s *sender) stop() { s.once.Do(func() { close(s.until) }) }
+
+func stopped(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *sender) one(i int) {
+	id := fmt.Sprintf("%s/%d;", s.name, i)
+	key := s.key
+	if key == "each" {
+		key = "key-" + id
+	}
+	if key != "" {
+		// What is judged by key has one identity, whichever call brings it.
+		id = key + ";"
+	}
+	body := append([]byte(id), bytes.Repeat([]byte{'.'}, max(0, s.size-len(id)))...)
+	entries := s.entries
+	if len(entries) == 0 {
+		entries = s.system.live()
+	}
+	if len(entries) == 0 {
+		return
+	}
+	result, upstream, took := s.call(entries[i%len(entries)], key, body)
+	s.mu.Lock()
+	s.counts[result]++
+	s.upstreams[upstream]++
+	s.latencies = append(s.latencies, took)
+	s.mu.Unlock()
+	kind := s.system.document.Services[0].Kind(s.kind)
+	s.system.mu.Lock()
+	s.system.outcomes = append(s.system.outcomes, outcome{id: id, kind: s.kind, key: key, idempotent: kind != nil && kind.Idempotent, result: result})
+	s.system.mu.Unlock()
+}
+
+var callerHTTP = &http.Client{Timeout: 90 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func (s *sender) call(entry, key string, body []byte) (result, upstream string, took time.Duration) {
+	began := time.Now()
+	answer, err := client.New(client.Options{Address: s.system.processes[entry].callers, HTTP: callerHTTP}).Do(context.Background(), client.Request{
+		Service: s.system.document.Services[0].Name, Kind: s.kind, Body: body, Key: key, Path: s.path, Timeout: s.timeout,
+	})
+	took = time.Since(began)
+	var problem *client.Error
+	switch {
+	case errors.As(err, &problem) && problem.Outcome != "":
+		return problem.Outcome, "", took
+	case errors.As(err, &problem):
+		return fmt.Sprintf("status-%d", problem.Status), "", took
+	case err != nil:
+		return "broken", "", took
+	case answer.Status != http.StatusOK:
+		return fmt.Sprintf("status-%d", answer.Status), answer.Upstream, took
+	case s.path == "" && !bytes.Equal(answer.Body, body):
+		return "wrong", answer.Upstream, took
+	}
+	return "answered", answer.Upstream, took
+}
+
+// summary prints the counts of all results, which a script matches.
+func (s *sender) summary() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	var b strings.Builder
+	for _, result := range []string{"answered", "not-run", "unknown", "ran", "broken", "wrong"} {
+		fmt.Fprintf(&b, "%s=%d ", result, s.counts[result])
+	}
+	for result, n := range s.counts {
+		if strings.HasPrefix(result, "status-") {
+			fmt.Fprintf(&b, "%s=%d ", result, n)
+		}
+		total += n
+	}
+	slices.Sort(s.latencies)
+	worst := time.Duration(0)
+	if len(s.latencies) > 0 {
+		worst = s.latencies[len(s.latencies)-1]
+	}
+	fmt.Fprintf(&b, "total=%d worst=%v upstreams=%v\n", total, worst.Round(time.Millisecond), s.upstreams)
+	return b.String()
+}
+
+// judgeRequests compares what callers were told with what the upstreams' own records say.
+func (s *system) judgeRequests() (faults []string) {
+	runs := map[string]int{}
+	ran := map[string]bool{}
+	for name, m := range s.machines {
+		r := m.upstream.Record()
+		if r.PeakRunning > s.options.slots {
+			faults = append(faults, fmt.Sprintf("%s ran %d requests in %d slots", name, r.PeakRunning, s.options.slots))
+		}
+		if r.PeakConnections > s.options.connections {
+			faults = append(faults, fmt.Sprintf("%s had %d of %d connections", name, r.PeakConnections, s.options.connections))
+		}
+		for _, run := range r.Runs {
+			id, _, _ := strings.Cut(run.Body, ";")
+			runs[id+";"]++
+			ran[id+";"] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.outcomes {
+		if o.result == "not-run" && ran[o.id] {
+			faults = append(faults, o.id+" was told not-run but ran")
+		}
+		if o.result == "wrong" {
+			faults = append(faults, o.id+" got a wrong answer")
+		}
+		if !o.idempotent && runs[o.id] > 1 {
+			faults = append(faults, fmt.Sprintf("%s is not idempotent and ran %d times", o.id, runs[o.id]))
+		}
+	}
+	slices.Sort(faults)
+	return slices.Compact(faults)
+}
