--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,7 +13,7 @@
 // Defaults of a Gate.
 const (
 	// QueuePerSlot is the number of requests that may wait for each slot.
-	QueuePerSlot = 2
+	QueuePerSlot = 16
 	// announcementsNeeded is how many announcements must agree before a slot counts as free
 	// although this process does not know how its request ended.
 	announcementsNeeded = 2
@@ -254,7 +254,7 @@
 	for len(g.queue) > 0 && g.InFlight() < g.slots {
 		t := g.queue[0]
 		g.queue = g.queue[1:]
-		if !now.Before(t.Deadline) {
+		if !now.Add(g.latency / 2).Before(t.Deadline) {
 			t.Notify(Verdict{Reason: peerpb.Reason_REASON_EXPIRED})
 			continue
 		}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -248,6 +248,10 @@
 	if t.q.Spilled || t.claim != nil || (target != nil && t.load < t.service.routing.SpillAt) {
 		return nil
 	}
+	// A key that another entry has given to an agent here can't be looked up from afar.
+	if t.q.fenced() && target != nil {
+		return nil
+	}
 	var best *Neighbour
 	neighbours := t.table.Load().Neighbours[t.q.Service]
 	offset := 0
