Let a key's question wait for the request that it overtook

at-most-once failed once in eight: of 24 callers with one key, one was told not-run (cancelled) and one unknown, while the key ran for the others. Cause: a second caller found the claim before the first caller's request had reached the agent, and its question cancelled that request; the first caller then gave up with not-run, which was true of its own call but not of the key. Ruled out: a double run (the upstream's record shows one).

The agent now gives a claimed key 250 ms to arrive before it cancels it, and a request that was overtaken follows the claim to its new agent, or answers unknown.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -13,8 +13,13 @@
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
 
-// bodyTimeout bounds how long an entry may take to send a request's body.
-const bodyTimeout = 30 * time.Second
+const (
+	// bodyTimeout bounds how long an entry may take to send a request's body.
+	bodyTimeout = 30 * time.Second
+	// lookupGrace is how long a question for a request waits for the request to arrive.
+	lookupGrace = 250 * time.Millisecond
+	lookupPoll  = 10 * time.Millisecond
+)
 
 // request is one request while this agent has it.
 type request struct {
@@ -275,6 +280,7 @@
 		_ = stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Detail: "the agent has restarted since"}))
 		return
 	}
+	a.awaitRecord(ctx, l.GetId())
 	var record *fence.Record
 	if a.loop.Do(func() {
 		a.control.records.Cancel(time.Now(), l.GetId())
@@ -287,6 +293,17 @@
 	a.replay(ctx, stream, record)
 }
 
+// awaitRecord gives a request whose key has just been claimed the time to arrive, so that
+// a question that overtakes it need not cancel it.
+func (a *Agent) awaitRecord(ctx context.Context, id string) {
+	for began := time.Now(); time.Since(began) < lookupGrace && ctx.Err() == nil; pause(ctx, lookupPoll) {
+		known := false
+		if a.loop.Do(func() { known = a.control.records.Find(id) != nil }) != nil || known {
+			return
+		}
+	}
+}
+
 // serveCancel makes sure that a request never starts, if it has not yet.
 func (a *Agent) serveCancel(stream *peer.Stream, c *peerpb.Cancel) {
 	defer stream.Close()
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -118,6 +118,12 @@
 	return nil, false, driver.ErrUnavailable
 }
 
+// Read returns the claim of a key.
+func (r *Registry) Read(ctx context.Context, service, key string) (claim *Claim, err error) {
+	defer errs.Annotate(&err, "claim: read")
+	return r.read(ctx, service, key)
+}
+
 func (r *Registry) read(ctx context.Context, service, key string) (*Claim, error) {
 	item, err := r.store.Get(ctx, path(service, key))
 	if err != nil {
--- a/internal/route/fence.go
+++ b/internal/route/fence.go
@@ -19,7 +19,10 @@
 // fence makes the claim name target before the request is sent there. It returns nil if
 // the request may be sent, or the reply if the key has run or may have.
 func (t *trip) fence(ctx context.Context, target *Target) *Reply {
-	if t.claim != nil {
+	switch {
+	case t.claim != nil && t.overtaken():
+		return t.reread(ctx, target)
+	case t.claim != nil:
 		return t.move(ctx, target)
 	}
 	c, taken, err := t.options.Claims.Take(ctx, claim.Claim{
@@ -36,6 +39,22 @@
 	return t.earlier(ctx, target)
 }
 
+// overtaken reports whether the last attempt was refused because another request with the
+// same key has asked for it to be cancelled, and may have run the key since.
+func (t *trip) overtaken() bool {
+	return t.last != nil && t.last.Reason == peerpb.Reason_REASON_CANCELLED
+}
+
+// reread follows the key to the agent that it has been given to meanwhile.
+func (t *trip) reread(ctx context.Context, target *Target) *Reply {
+	c, err := t.options.Claims.Read(ctx, t.q.Service, t.q.Key)
+	if err != nil {
+		return t.storeDown(err)
+	}
+	t.claim = c
+	return t.earlier(ctx, target)
+}
+
 // move gives the key to another agent after the first has proved that it did not run it.
 func (t *trip) move(ctx context.Context, target *Target) *Reply {
 	c, moved, err := t.options.Claims.Move(ctx, t.claim, target.agent, target.dataCentre, target.incarnation)
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -122,8 +122,11 @@
 // run makes attempts until one of them ends the trip.
 func (t *trip) run(ctx context.Context) *Reply {
 	reply := t.attempts(ctx)
-	if reply.Outcome == OutcomeNotRun && t.doubt != nil {
+	switch {
+	case reply.Outcome == OutcomeNotRun && t.doubt != nil:
 		return t.doubt
+	case reply.Outcome == OutcomeNotRun && t.claim != nil && t.overtaken():
+		return unknown("another request with the same key may have run it")
 	}
 	return reply
 }
@@ -135,6 +138,9 @@
 		case reply.Outcome == OutcomeNotRun && reply != t.last && t.mayAskAgain(ctx):
 			t.refusals++
 			t.last = t.better(reply)
+			if t.q.fenced() && t.overtaken() {
+				clear(t.tried)
+			}
 		case t.mayRetry(ctx, reply):
 			t.retries++
 			t.doubt = reply
@@ -148,7 +154,7 @@
 
 // better keeps the refusal that promises room the soonest.
 func (t *trip) better(reply *Reply) *Reply {
-	if t.last == nil || reply.RetryAfter < t.last.RetryAfter {
+	if t.last == nil || t.q.fenced() || reply.RetryAfter < t.last.RetryAfter {
 		return reply
 	}
 	return t.last
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -137,7 +137,7 @@
 	n := &sender{
 		system: s, name: a.word(0), kind: a.word(1), count: a.number("count", 0), concurrency: a.number("concurrency", 8),
 		size: a.number("size", 0), key: a.text("key", ""), path: a.text("path", ""), timeout: a.duration("timeout", 0),
-		until: make(chan struct{}), done: make(chan struct{}), counts: map[string]int{}, upstreams: map[string]int{},
+		until: make(chan struct{}), done: make(chan struct{}), counts: map[string]int{}, upstreams: map[string]int{}, details: map[string]int{},
 	}
 	if e := a.text("entry", ""); e != "" {
 		n.entries = strings.Split(e, ",")
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -42,6 +42,7 @@
 	counts      map[string]int
 	latencies   []time.Duration
 	upstreams   map[string]int
+	details     map[string]int
 }
 
 // run sends count requests, or as many as fit until the channel is closed.
@@ -93,7 +94,9 @@
 		return
 	}
 	result, upstream, took := s.call(entries[i%len(entries)], key, body)
+	result, detail, _ := strings.Cut(result, ": ")
 	s.mu.Lock()
+	s.details[detail]++
 	s.counts[result]++
 	s.upstreams[upstream]++
 	s.latencies = append(s.latencies, took)
@@ -115,7 +118,7 @@
 	var problem *client.Error
 	switch {
 	case errors.As(err, &problem) && problem.Outcome != "":
-		return problem.Outcome, "", took
+		return problem.Outcome + ": " + problem.Detail, "", took
 	case errors.As(err, &problem):
 		return fmt.Sprintf("status-%d", problem.Status), "", took
 	case err != nil:
@@ -148,7 +151,7 @@
 	if len(s.latencies) > 0 {
 		worst = s.latencies[len(s.latencies)-1]
 	}
-	fmt.Fprintf(&b, "total=%d worst=%v upstreams=%v\n", total, worst.Round(time.Millisecond), s.upstreams)
+	fmt.Fprintf(&b, "total=%d worst=%v upstreams=%v\ndetails: %v\n", total, worst.Round(time.Millisecond), s.upstreams, s.details)
 	return b.String()
 }
 
