--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -137,7 +137,7 @@
 			o.durable(done)
 			return nil
 		}
-		o.record(cancelledRecord(id), func() {
+		o.record(cancelledRecord(id, time.Now()), func() {
 			done()
 			o.stopJob(id)
 		})
@@ -171,7 +171,7 @@
 		if e == nil {
 			return ErrNoJob
 		}
-		if !o.record(settledRecord(task, finished), done) {
+		if !o.record(settledRecord(task, finished, time.Now()), done) {
 			return ErrSettled
 		}
 		if e.task.GetPhase() == cellpb.Phase_PHASE_WAITING {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -337,7 +337,7 @@
 
 func (o *Owner) refuse(group []*entry, detail string) {
 	for _, g := range group {
-		if o.record(refusedRecord(g.task.GetId(), detail), nil) {
+		if o.record(refusedRecord(g.task.GetId(), detail, time.Now()), nil) {
 			o.options.Metrics.Placements.WithLabelValues("infeasible").Inc()
 			o.log.Info("task can never run", "task", g.task.GetId(), "job", g.job.GetId(), "reason", detail)
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -39,7 +40,7 @@
 	case *cellpb.Record_Ended:
 		return s.end(c.Ended)
 	case *cellpb.Record_JobCancelled:
-		return s.cancel(c.JobCancelled.GetJob())
+		return s.cancel(c.JobCancelled)
 	case *cellpb.Record_Settled:
 		return s.settle(c.Settled)
 	case *cellpb.Record_JobForgotten:
@@ -148,15 +149,16 @@
 	return t.GetPhase()
 }
 
-func (s *State) cancel(id string) error {
-	job := s.jobs[id]
+func (s *State) cancel(r *cellpb.JobKey) error {
+	job := s.jobs[r.GetJob()]
 	if job == nil {
-		return fmt.Errorf("cell: no job %s", id)
+		return fmt.Errorf("cell: no job %s", r.GetJob())
 	}
 	job.Cancelled = true
 	for _, t := range job.GetTasks() {
 		if t.GetPhase() == cellpb.Phase_PHASE_WAITING {
 			t.Phase = cellpb.Phase_PHASE_CANCELLED
+			t.EndedUnixMillis = r.GetUnixMillis()
 		}
 	}
 	return nil
@@ -176,6 +178,7 @@
 		e.task.Phase = cellpb.Phase_PHASE_WAITING
 	}
 	e.task.Detail = "settled by an operator"
+	e.task.EndedUnixMillis = r.GetUnixMillis()
 	return nil
 }
 
@@ -186,6 +189,7 @@
 	}
 	e.task.Phase = cellpb.Phase_PHASE_INFEASIBLE
 	e.task.Detail = r.GetDetail()
+	e.task.EndedUnixMillis = r.GetUnixMillis()
 	return nil
 }
 
@@ -255,18 +259,18 @@
 	return &cellpb.Record{Change: &cellpb.Record_Ended{Ended: e}}
 }
 
-func cancelledRecord(job string) *cellpb.Record {
-	return &cellpb.Record{Change: &cellpb.Record_JobCancelled{JobCancelled: &cellpb.JobKey{Job: job}}}
+func cancelledRecord(job string, at time.Time) *cellpb.Record {
+	return &cellpb.Record{Change: &cellpb.Record_JobCancelled{JobCancelled: &cellpb.JobKey{Job: job, UnixMillis: at.UnixMilli()}}}
 }
 
 func forgottenRecord(job string) *cellpb.Record {
 	return &cellpb.Record{Change: &cellpb.Record_JobForgotten{JobForgotten: &cellpb.JobKey{Job: job}}}
 }
 
-func settledRecord(task string, finished bool) *cellpb.Record {
-	return &cellpb.Record{Change: &cellpb.Record_Settled{Settled: &cellpb.Settled{Task: task, Finished: finished}}}
+func settledRecord(task string, finished bool, at time.Time) *cellpb.Record {
+	return &cellpb.Record{Change: &cellpb.Record_Settled{Settled: &cellpb.Settled{Task: task, Finished: finished, UnixMillis: at.UnixMilli()}}}
 }
 
-func refusedRecord(task, detail string) *cellpb.Record {
-	return &cellpb.Record{Change: &cellpb.Record_Refused{Refused: &cellpb.Refused{Task: task, Detail: detail}}}
+func refusedRecord(task, detail string, at time.Time) *cellpb.Record {
+	return &cellpb.Record{Change: &cellpb.Record_Refused{Refused: &cellpb.Refused{Task: task, Detail: detail, UnixMillis: at.UnixMilli()}}}
 }
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -27,7 +27,7 @@
 	// others take its cells.
 	awayDelay = 30 * time.Second
 	// goneDelay is how long an owner must be missing from the registry.
-	goneDelay = time.Second
+	goneDelay   = time.Second
 	gossipFresh = 3 * time.Second
 	loadsFresh  = 400 * time.Millisecond
 )
--- /dev/null
+++ b/pkg/document/document_test.go
@@ -0,0 +1,84 @@
+package document
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+// TestParse checks the documents in testdata, each of which is the Verband's document
+// with one text replaced by another.
+func TestParse(t *testing.T) {
+	example, err := os.ReadFile("../../examples/verband.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			raw := string(example)
+			if d.Cmd == "replace" {
+				for _, line := range strings.Split(d.Input, "\n") {
+					old, with, ok := strings.Cut(line, " => ")
+					if !ok || !strings.Contains(raw, old) {
+						t.Fatalf("%q is not in the document", old)
+					}
+					raw = strings.Replace(raw, old, with, 1)
+				}
+			} else {
+				raw = d.Input
+			}
+			_, err := Parse([]byte(raw))
+			var faults Faults
+			if errors.As(err, &faults) {
+				var b strings.Builder
+				for _, f := range faults {
+					b.WriteString(f.String() + "\n")
+				}
+				return b.String()
+			}
+			return "accepted\n"
+		})
+	})
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"verband.json", "passline.json"} {
+		raw, err := os.ReadFile("../../examples/" + name)
+		is.NoErr(err)
+		_, err = Parse(raw)
+		is.NoErr(err)
+	}
+}
+
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse(make([]byte, MaxBytes+1))
+	is.True(err != nil)
+}
+
+// FuzzParse checks that no input makes the reader fail other than by its own faults.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"verband.json", "passline.json"} {
+		raw, err := os.ReadFile("../../examples/" + name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Add([]byte(`{"environment":[],"environment":{}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d, err := Parse(raw)
+		var faults Faults
+		if err != nil && (!errors.As(err, &faults) || len(faults) == 0) {
+			t.Fatalf("%v", err)
+		}
+		if err == nil && d.Environment == "" {
+			t.Fatal("accepted without an environment")
+		}
+	})
+}
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -29,15 +30,24 @@
 	}
 	d := &Document{}
 	faults := Strict(data, d)
-	if len(faults) == 0 {
-		faults = d.Check()
-	}
+	faults = append(faults, without(d.Check(), faults)...)
 	if len(faults) > 0 {
 		return nil, faults
 	}
 	return d, nil
 }
 
+// without returns the faults whose fields were read, so that a field which could not be
+// is not called out of range as well.
+func without(faults, unread Faults) (left Faults) {
+	for _, f := range faults {
+		if !slices.ContainsFunc(unread, func(u Fault) bool { return strings.HasPrefix(f.Path, u.Path) }) {
+			left = append(left, f)
+		}
+	}
+	return left
+}
+
 // Check returns every value of d that is out of range.
 func (d *Document) Check() Faults {
 	var f Faults
