Resume at-most-once tasks only from a checkpoint they were stopped at

A task that may run at most once was resumed from an older checkpoint after its lease had lapsed, which repeats what it did since. The owners' schedules fail first ('repeats work that an earlier attempt did after its checkpoint'). Cause: the agent reports the last checkpoint it knows, also the one that the attempt was started from, and the owner took it for the point of the stop. Ruled out: a wrong attempt number, as the resumed attempts are the next ones.

--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -33,6 +33,8 @@
 	confirmed time.Time
 	stopping  bool
 	throttled bool
+	// exact tells that the attempt is being stopped, or was, right at its checkpoint.
+	exact bool
 }
 
 func attemptKey(task string, number uint32) string { return fmt.Sprintf("%s#%d", task, number) }
@@ -42,7 +44,7 @@
 func (t *attempt) state() *peerpb.TaskState {
 	return &peerpb.TaskState{
 		Task: t.task, Attempt: t.number, Phase: t.phase, Checkpoint: t.checkpoint,
-		Detail: t.detail, Used: toProto(t.used),
+		Detail: t.detail, Used: toProto(t.used), Exact: t.phase == peerpb.Phase_PHASE_STOPPED && t.exact,
 	}
 }
 
@@ -212,7 +214,8 @@
 	return nil
 }
 
-// checkpoint saves an attempt's progress and reports whether that succeeded.
+// checkpoint saves the progress of an attempt that is to be stopped next, and reports
+// whether that succeeded.
 func (a *Agent) checkpoint(ctx context.Context, task string, number uint32) bool {
 	name, err := a.options.Worker.Checkpoint(ctx, task, number)
 	if err != nil {
@@ -221,7 +224,7 @@
 	}
 	_ = a.loop.Do(func() {
 		if t := a.control.attempts[attemptKey(task, number)]; t != nil {
-			t.checkpoint = name
+			t.checkpoint, t.exact = name, true
 		}
 	})
 	return true
@@ -232,6 +235,12 @@
 	status, err := a.options.Worker.Stop(ctx, task, number)
 	if err != nil && !errors.Is(err, driver.ErrNotFound) {
 		a.log.Warn("task was not stopped", "task", task, "error", err.Error())
+		_ = a.loop.Do(func() {
+			// It runs on past its checkpoint.
+			if t := a.control.attempts[attemptKey(task, number)]; t != nil && t.phase == peerpb.Phase_PHASE_RUNNING {
+				t.exact = false
+			}
+		})
 		return false
 	}
 	_ = a.loop.Do(func() {
@@ -240,6 +249,7 @@
 			return
 		}
 		if errors.Is(err, driver.ErrNotFound) {
+			t.exact = false
 			a.end(t, driver.TaskPhaseStopped, t.checkpoint, "the worker does not hold it")
 			return
 		}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -235,6 +235,9 @@
 		a.tombstones[key] = true
 		return &peerpb.TaskReply{Reason: reason}
 	}
+	if !s.GetIdempotent() && strings.HasSuffix(s.GetCheckpoint(), ".lapse") {
+		w.faults = append(w.faults, key+" repeats work that an earlier attempt did after its checkpoint")
+	}
 	if w.durable[s.GetTask()] {
 		w.faults = append(w.faults, key+" was started after its finish was durable")
 	}
@@ -260,7 +263,7 @@
 	if t.state.GetPhase() == peerpb.Phase_PHASE_RUNNING {
 		t.state.Phase = peerpb.Phase_PHASE_STOPPED
 		if s.GetCheckpoint() {
-			t.state.Checkpoint = s.GetTask() + ".evicted"
+			t.state.Checkpoint, t.state.Exact = s.GetTask()+".evicted", true
 		}
 		w.record(a, t.state, standin.EventStop, time.Now())
 	}
@@ -274,7 +277,7 @@
 	owners := slices.Clone(w.owners)
 	r := &peerpb.Report{Cell: testCell, Epoch: a.epoch, Term: a.term, Draining: a.drain, Capacity: toProto(a.capacity), Free: toProto(a.capacity)}
 	for _, t := range a.attempts {
-		r.Tasks = append(r.Tasks, &peerpb.TaskState{Task: t.state.GetTask(), Attempt: t.state.GetAttempt(), Phase: t.state.GetPhase(), Checkpoint: t.state.GetCheckpoint(), Used: t.state.GetUsed()})
+		r.Tasks = append(r.Tasks, &peerpb.TaskState{Task: t.state.GetTask(), Attempt: t.state.GetAttempt(), Phase: t.state.GetPhase(), Checkpoint: t.state.GetCheckpoint(), Exact: t.state.GetExact(), Used: t.state.GetUsed()})
 	}
 	cut := a.cut
 	w.mu.Unlock()
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -215,12 +215,22 @@
 	if w.ending[key] || w.settled[key] != nil {
 		return
 	}
-	o.endAttempt(w, t.GetTask(), t.GetAttempt(), endingOf(t), t.GetCheckpoint(), t.GetDetail(), now)
+	o.endAttempt(w, t.GetTask(), t.GetAttempt(), endingOf(t), o.resumeFrom(t), t.GetDetail(), now)
 	if !w.ending[key] {
 		w.settled[key] = &peerpb.TaskKey{Task: t.GetTask(), Attempt: t.GetAttempt()}
 	}
 }
 
+// resumeFrom returns the checkpoint that a next attempt may start from. A task that runs at
+// most once has none unless it was stopped right at it, as the work since would be repeated.
+func (o *Owner) resumeFrom(t *peerpb.TaskState) string {
+	e := o.c.state.tasks[t.GetTask()]
+	if t.GetExact() || e == nil || e.task.GetIdempotent() {
+		return t.GetCheckpoint()
+	}
+	return ""
+}
+
 func endingOf(t *peerpb.TaskState) cellpb.Ending {
 	switch t.GetPhase() {
 	case peerpb.Phase_PHASE_FINISHED:
@@ -337,7 +347,7 @@
 	switch {
 	case reply.GetState() != nil && reply.GetState().GetPhase() != peerpb.Phase_PHASE_RUNNING:
 		s := reply.GetState()
-		o.endAttempt(w, a.task, a.attempt, endingOf(s), s.GetCheckpoint(), s.GetDetail(), now)
+		o.endAttempt(w, a.task, a.attempt, endingOf(s), o.resumeFrom(s), s.GetDetail(), now)
 	case reply.GetReason() == peerpb.Reason_REASON_NOT_FOUND && (a.confirmed || a.incarnation != w.Incarnation):
 		o.endAttempt(w, a.task, a.attempt, cellpb.Ending_ENDING_LOST, a.checkpoint, "the worker does not hold it any more", now)
 	case reply.GetReason() == peerpb.Reason_REASON_NOT_FOUND:
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -310,9 +310,11 @@
 }
 
 func (s *Server) checkpoint(w http.ResponseWriter, _ *http.Request, t *task) {
-	if t.Phase == string(driver.TaskPhaseRunning) {
-		t.Checkpoint = fmt.Sprintf("%s.%d@%d", t.Task, t.Attempt, t.progress.Milliseconds())
+	if t.Phase != string(driver.TaskPhaseRunning) {
+		http.Error(w, "the attempt has ended", http.StatusConflict)
+		return
 	}
+	t.Checkpoint = fmt.Sprintf("%s.%d@%d", t.Task, t.Attempt, t.progress.Milliseconds())
 	_ = json.NewEncoder(w).Encode(t.TaskJSON)
 }
 
