--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -37,7 +37,13 @@
 
 // providePlacer turns the document's objective into the weights of a placement.
 func providePlacer(h *config.Holder) driver.Placer {
-	return place.NewPairScore(func() place.Weights {
+	policy := func() string {
+		if d := h.Document(); d != nil {
+			return d.Placement.Policy
+		}
+		return ""
+	}
+	return place.NewSwitch(policy, place.NewPairScore(func() place.Weights {
 		w := place.Weights{Harm: 1, Packing: 1, Spread: 0.5}
 		if d := h.Document(); d != nil {
 			w.Harm = d.Objective.TailLatency
@@ -48,7 +54,7 @@
 			}
 		}
 		return w
-	})
+	}))
 }
 
 func provideRouter(s *settings.Entry, h *config.Holder, c *claim.Registry, log *slog.Logger, m *telemetry.Metrics) *route.Router {
@@ -58,7 +64,7 @@
 func provideEntryOptions(s *settings.Entry, store driver.Store, p driver.Placer, h *config.Holder, w *config.Watcher,
 	ed *config.Editor, c *claim.Registry, r *route.Router, log *slog.Logger, m *telemetry.Metrics) entry.Options {
 	return entry.Options{
-		ID: s.ID, DataCentre: s.DataCentre, Advertise: s.Advertise, Peers: s.Peers, DrainTimeout: s.Drain(),
+		ID: s.ID, DataCentre: s.DataCentre, Advertise: s.Advertise, AdvertisePeers: s.PeerAddress, Peers: s.Peers, DrainTimeout: s.Drain(),
 		Grant: s.GrantSpan(), Margin: s.GrantMargin(), StoreSilence: s.Silence(),
 		Store: store, Placer: p, Holder: h, Watcher: w, Editor: ed, Claims: c, Router: r, Log: log, Metrics: m,
 	}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,13 +2,109 @@
 
 import (
 	"context"
-	"errors"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+
+	"github.com/jasminebay/jasminebay/examples"
+	"github.com/jasminebay/jasminebay/internal/load"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
 type loadCommand struct {
+	Policies   string `long:"policy" description:"routing policies to compare, separated by commas" value-name:"NAMES"`
+	Placements string `long:"placement" description:"placement policies to compare, separated by commas" value-name:"NAMES"`
+	Guards     string `long:"guards" description:"guards to compare, of on, off, threshold" value-name:"NAMES"`
+	Scales     string `long:"scale" description:"factors on the rate of requests to compare" value-name:"NUMBERS" default:"1"`
+	Quiet      bool   `long:"no-jobs" description:"run no jobs"`
+	Output     string `long:"output" description:"form of the output" choice:"table" choice:"json" default:"table"`
+	Logs       string `long:"logs" description:"file for the processes' logs" value-name:"FILE"`
+	Args       struct {
+		File string `positional-arg-name:"FILE" description:"load file, or the name of an example"`
+	} `positional-args:"yes" required:"yes"`
 	ctx     context.Context
 	streams streams
 }
 
-// Execute measures the system under load.
-func (c *loadCommand) Execute([]string) error { return errors.New("load: not built yet") }
+// Execute runs a load file once for each variant and prints the results side by side.
+func (c *loadCommand) Execute([]string) error {
+	raw, err := c.read()
+	if err != nil {
+		return usageError{err}
+	}
+	file, err := load.Parse(raw)
+	if err != nil {
+		return usageError{err}
+	}
+	document, err := examples.Files.ReadFile(file.Document + ".json")
+	if err != nil {
+		return usageError{fmt.Errorf("$.document: %w", err)}
+	}
+	log, closeLog, err := c.log()
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	rows := [][]string{load.Head()}
+	var results []*load.Result
+	for _, v := range c.variants() {
+		progress(c.streams.err, "%s …", v.Name())
+		result, err := load.Run(c.ctx, file, document, v, log)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		rows = append(rows, result.Rows()...)
+	}
+	progress(c.streams.err, "")
+	if c.Output == "json" {
+		e := json.NewEncoder(c.streams.out)
+		e.SetIndent("", "  ")
+		return e.Encode(results)
+	}
+	return table(c.streams.out, rows)
+}
+
+func (c *loadCommand) read() ([]byte, error) {
+	if raw, err := examples.Files.ReadFile(c.Args.File + ".json"); err == nil {
+		return raw, nil
+	}
+	return readFile(c.streams.in, c.Args.File)
+}
+
+func (c *loadCommand) log() (*slog.Logger, func(), error) {
+	if c.Logs == "" {
+		return telemetry.NewLogger(io.Discard, slog.LevelError+1), func() {}, nil
+	}
+	f, err := os.Create(c.Logs)
+	if err != nil {
+		return nil, nil, usageError{err}
+	}
+	out := telemetry.NewLogWriter(f)
+	return telemetry.NewLogger(out, slog.LevelInfo), func() {
+		out.Flush()
+		_ = f.Close()
+	}, nil
+}
+
+// variants combines all that is to be compared.
+func (c *loadCommand) variants() (variants []load.Variant) {
+	for _, policy := range list(c.Policies) {
+		for _, placement := range list(c.Placements) {
+			for _, guards := range list(c.Guards) {
+				for _, scale := range list(c.Scales) {
+					v := load.Variant{Policy: policy, Placement: placement, Guards: guards, Quiet: c.Quiet}
+					_, _ = fmt.Sscan(scale, &v.Scale)
+					variants = append(variants, v)
+				}
+			}
+		}
+	}
+	return variants
+}
+
+// list splits a list; an empty one has one empty member.
+func list(text string) []string { return strings.Split(text, ",") }
--- a/internal/driver/place/place.go
+++ b/internal/driver/place/place.go
@@ -5,6 +5,35 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 )
 
+// Switch asks for the name of the policy at each placement.
+type Switch struct {
+	name     func() string
+	policies map[string]driver.Placer
+	standard driver.Placer
+}
+
+// NewSwitch returns a Switch that uses pairs unless name returns another policy's name.
+func NewSwitch(name func() string, pairs *PairScore) *Switch {
+	return &Switch{name: name, standard: pairs, policies: map[string]driver.Placer{
+		FirstFit{}.Name(): FirstFit{}, LeastLoaded{}.Name(): LeastLoaded{},
+	}}
+}
+
+func (s *Switch) current() driver.Placer {
+	if p := s.policies[s.name()]; p != nil {
+		return p
+	}
+	return s.standard
+}
+
+// Place implements driver.Placer.
+func (s *Switch) Place(need driver.Resources, seats []driver.Seat) int {
+	return s.current().Place(need, seats)
+}
+
+// Name implements driver.Placer.
+func (s *Switch) Name() string { return s.current().Name() }
+
 // FirstFit takes the first worker that has room.
 type FirstFit struct{}
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,14 @@
 }
 
 func (e *Entry) address() *peerpb.EntryAddress {
-	return &peerpb.EntryAddress{Id: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Advertise}
+	return &peerpb.EntryAddress{Id: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Advertise, PeerAddress: e.peerAddress()}
+}
+
+func (e *Entry) peerAddress() string {
+	if e.options.AdvertisePeers == "" {
+		return e.options.Advertise
+	}
+	return e.options.AdvertisePeers
 }
 
 // Run serves the listeners until ctx ends, then ends the requests in flight and returns.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -15,8 +15,10 @@
 type Options struct {
 	ID         string
 	DataCentre string
-	// Advertise is the address at which peers and agents reach this entry.
-	Advertise string
+	// Advertise is the address at which agents reach this entry, AdvertisePeers the one
+	// for other entries; empty means the same.
+	Advertise      string
+	AdvertisePeers string
 	// Peers are addresses of other entries, for when the key-value service is down.
 	Peers []string
 	// DrainTimeout bounds the wait for requests in flight on shutdown.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -64,11 +64,11 @@
 
 func (e *Entry) peerAddresses() (addresses []string) {
 	_ = e.loop.Do(func() {
-		seen := map[string]bool{e.options.Advertise: true}
+		seen := map[string]bool{e.peerAddress(): true}
 		for _, a := range e.control.known {
-			if !seen[a.GetAddress()] {
-				seen[a.GetAddress()] = true
-				addresses = append(addresses, a.GetAddress())
+			if !seen[a.GetPeerAddress()] {
+				seen[a.GetPeerAddress()] = true
+				addresses = append(addresses, a.GetPeerAddress())
 			}
 		}
 		for _, address := range e.options.Peers {
@@ -107,7 +107,7 @@
 func (e *Entry) hello() *peerpb.Hello {
 	return &peerpb.Hello{
 		Version: peer.Version, Id: e.options.ID, Role: peer.RoleEntry, Incarnation: e.incarnation,
-		DataCentre: e.options.DataCentre, Address: e.options.Advertise,
+		DataCentre: e.options.DataCentre, Address: e.options.Advertise, PeerAddress: e.peerAddress(),
 	}
 }
 
@@ -228,7 +228,7 @@
 	}
 	_ = e.loop.Do(func() {
 		if e.control.known[hello.GetId()] == nil && !e.registered.Load() {
-			e.control.known[hello.GetId()] = &peerpb.EntryAddress{Id: hello.GetId(), DataCentre: hello.GetDataCentre(), Address: hello.GetAddress()}
+			e.control.known[hello.GetId()] = &peerpb.EntryAddress{Id: hello.GetId(), DataCentre: hello.GetDataCentre(), Address: hello.GetAddress(), PeerAddress: hello.GetPeerAddress()}
 			e.control.knownAt++
 		}
 	})
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -24,6 +24,7 @@
 	ID         string `json:"id"`
 	DataCentre string `json:"data-centre"`
 	Address    string `json:"address"`
+	Peers      string `json:"peers"`
 	Instance   string `json:"instance"`
 }
 
@@ -63,7 +64,7 @@
 	if err != nil {
 		return "", err
 	}
-	value, err := json.Marshal(registration{ID: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Advertise, Instance: e.instance})
+	value, err := json.Marshal(registration{ID: e.options.ID, DataCentre: e.options.DataCentre, Address: e.options.Advertise, Peers: e.peerAddress(), Instance: e.instance})
 	if err != nil {
 		return "", err
 	}
@@ -106,7 +107,7 @@
 		if json.Unmarshal(item.Value(), &r) != nil || r.ID == e.options.ID {
 			continue
 		}
-		known[r.ID] = &peerpb.EntryAddress{Id: r.ID, DataCentre: r.DataCentre, Address: r.Address}
+		known[r.ID] = &peerpb.EntryAddress{Id: r.ID, DataCentre: r.DataCentre, Address: r.Address, PeerAddress: r.Peers}
 		instances[r.ID] = r.Instance
 	}
 	return e.loop.Do(func() { e.replaceKnown(known, instances) })
@@ -121,7 +122,7 @@
 	}
 	changed := len(known) != len(e.control.known)
 	for id, a := range known {
-		if old := e.control.known[id]; old == nil || old.GetAddress() != a.GetAddress() {
+		if old := e.control.known[id]; old == nil || old.GetAddress() != a.GetAddress() || old.GetPeerAddress() != a.GetPeerAddress() {
 			changed = true
 		}
 	}
--- a/internal/local/cluster.go
+++ b/internal/local/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/jasminebay/jasminebay/internal/entry"
 	"github.com/jasminebay/jasminebay/internal/settings"
 	"github.com/jasminebay/jasminebay/internal/standin/kv"
+	"github.com/jasminebay/jasminebay/internal/standin/relay"
 	"github.com/jasminebay/jasminebay/pkg/client"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
@@ -44,9 +45,11 @@
 	StoreSilence         time.Duration
 	Heartbeat            time.Duration
 	Log                  *slog.Logger
-	// Relay, if it is not nil, is asked for the address through which one process reaches
-	// another; tests put a fault-injecting relay in between.
-	Relay func(from, to, address string) string
+	// PeerDelay and PeerJitter delay each way between entries.
+	PeerDelay  time.Duration
+	PeerJitter time.Duration
+	// StoreDelay delays each call to the key-value service.
+	StoreDelay time.Duration
 }
 
 // Cluster is a running system.
@@ -85,9 +88,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if o.Relay == nil {
-		o.Relay = func(_, _, address string) string { return address }
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Cluster{options: o, document: d, store: kv.New(kv.Options{}), ctx: ctx, cancel: cancel}
 	if err := c.start(); err != nil {
@@ -103,6 +103,7 @@
 		return err
 	}
 	c.storeURL = "http://" + address
+	c.store.SetFaults(kv.Faults{DelayMillis: c.options.StoreDelay.Milliseconds()})
 	for i := range c.options.EntriesPerDataCentre {
 		for _, dc := range c.document.DataCentres {
 			if _, err := c.StartEntry(fmt.Sprintf("entry-%s-%d", dc.Name, i), dc.Name); err != nil {
@@ -154,13 +155,21 @@
 	s := &settings.Entry{
 		ID: id, DataCentre: dataCentre, Environment: c.document.Environment,
 		Callers: l.Callers.Addr().String(), Operators: l.Operators.Addr().String(), Listen: l.Peers.Addr().String(),
-		Advertise: l.Peers.Addr().String(), Store: c.options.Relay(id, "store", c.storeURL), LogLevel: "info",
+		Advertise: l.Peers.Addr().String(), Store: c.storeURL, LogLevel: "info",
 		DrainTimeout: defaultDrain.String(), Grant: c.options.Grant.String(), Margin: c.options.Margin.String(),
 		StoreSilence: c.options.StoreSilence.String(),
 	}
 	for _, n := range c.entries {
 		s.Peers = append(s.Peers, n.Peers)
 	}
+	if c.options.PeerDelay > 0 {
+		link, err := relay.New(s.Listen, relay.Mode{Delay: c.options.PeerDelay, Jitter: c.options.PeerJitter})
+		if err != nil {
+			return nil, err
+		}
+		s.PeerAddress = link.Address()
+		context.AfterFunc(c.ctx, link.Close)
+	}
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
--- a/internal/local/machine.go
+++ b/internal/local/machine.go
@@ -68,7 +68,7 @@
 	}
 	m.listen = agentListener.Addr().String()
 	m.Upstream = upstream.New(upstream.Options{
-		Service: c.document.Services[0].Name, Address: c.options.Relay(m.ID, "upstream", "http://"+l.Addr().String()),
+		Service: c.document.Services[0].Name, Address: "http://" + l.Addr().String(),
 		Agent: "http://" + m.listen, Slots: o.Slots, Connections: o.Connections, ServiceTime: m.serviceTime,
 	})
 	c.serveOn(c.ctx, l, m.Upstream.Handler(), m.Upstream.ConnState)
@@ -108,7 +108,7 @@
 		Heartbeat: c.options.Heartbeat.String(), DrainTimeout: defaultDrain.String(), LogLevel: "info",
 	}
 	for _, n := range c.entries {
-		s.Entries = append(s.Entries, c.options.Relay(m.ID, n.ID, n.Peers))
+		s.Entries = append(s.Entries, n.Peers)
 	}
 	if err := s.Check(); err != nil {
 		return err
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -18,6 +18,7 @@
 	"github.com/jasminebay/jasminebay/examples"
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/standin/kv"
+	"github.com/jasminebay/jasminebay/internal/standin/relay"
 	"github.com/jasminebay/jasminebay/internal/standin/upstream"
 	"github.com/jasminebay/jasminebay/internal/standin/worker"
 	"github.com/jasminebay/jasminebay/pkg/client"
@@ -29,7 +30,7 @@
 func setup(env *testscript.Env) error {
 	s := &system{
 		dir: env.WorkDir, processes: map[string]*process{}, machines: map[string]*machine{},
-		relays: map[string]*relay{}, senders: map[string]*sender{}, jobs: map[string]string{},
+		relays: map[string]*relay.Relay{}, senders: map[string]*sender{}, jobs: map[string]string{},
 	}
 	env.Values[systemKey{}] = s
 	env.Defer(s.close)
@@ -244,30 +245,30 @@
 		}
 		switch a.word(1) {
 		case "cut":
-			r.cut()
+			r.Cut()
 		case "pass":
-			r.set(mode{})
+			r.Set(relay.Mode{})
 		case "refuse":
-			r.set(mode{refuse: true})
-			r.cut()
+			r.Set(relay.Mode{Refuse: true})
+			r.Cut()
 		case "hold":
-			r.set(mode{holdUp: true, holdDown: true})
+			r.Set(relay.Mode{HoldUp: true, HoldDown: true})
 		case "hold-up":
-			r.set(mode{holdUp: true})
+			r.Set(relay.Mode{HoldUp: true})
 		case "hold-down":
-			r.set(mode{holdDown: true})
+			r.Set(relay.Mode{HoldDown: true})
 		case "delay":
 			d, err := time.ParseDuration(a.word(2))
 			if err != nil {
 				return "", err
 			}
-			r.set(mode{delay: d, jitter: d / 2})
+			r.Set(relay.Mode{Delay: d, Jitter: d / 2})
 		case "cut-after":
 			n, err := strconv.Atoi(a.word(2))
 			if err != nil {
 				return "", err
 			}
-			r.set(mode{cutAfter: n})
+			r.Set(relay.Mode{CutAfter: n})
 		default:
 			return "", fmt.Errorf("unknown mode %q", a.word(1))
 		}
@@ -535,7 +536,7 @@
 func cmdRaw(s *system, a arguments) (string, error) {
 	address := strings.TrimPrefix(s.processes[a.word(1)].callers, "http://")
 	if a.word(0) == "peers" {
-		address = s.relays[a.word(1)].address()
+		address = s.relays[a.word(1)].Address()
 	}
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/standin/kv"
+	"github.com/jasminebay/jasminebay/internal/standin/relay"
 	"github.com/jasminebay/jasminebay/internal/standin/upstream"
 	"github.com/jasminebay/jasminebay/internal/standin/worker"
 	"github.com/jasminebay/jasminebay/pkg/client"
@@ -41,7 +42,7 @@
 	processes map[string]*process
 	order     []string
 	machines  map[string]*machine
-	relays    map[string]*relay
+	relays    map[string]*relay.Relay
 	closers   []func()
 	mu        sync.Mutex
 	senders   map[string]*sender
@@ -94,7 +95,7 @@
 		<-n.done
 	}
 	for _, r := range s.relays {
-		r.set(mode{})
+		r.Set(relay.Mode{})
 	}
 	for _, p := range s.processes {
 		if p.command != nil {
@@ -107,7 +108,7 @@
 		s.closers[i]()
 	}
 	for _, r := range s.relays {
-		r.close()
+		r.Close()
 	}
 }
 
@@ -125,12 +126,12 @@
 
 // relay puts a relay named name in front of an address.
 func (s *system) relay(name, address string) (string, error) {
-	r, err := newRelay(address)
+	r, err := relay.New(address, relay.Mode{})
 	if err != nil {
 		return "", err
 	}
 	s.relays[name] = r
-	return r.address(), nil
+	return r.Address(), nil
 }
 
 // The range of ports that are given to processes; it lies below the one from which the
@@ -216,7 +217,7 @@
 	}}
 	for _, other := range s.order {
 		if r := s.relays[other]; r != nil {
-			p.arguments = append(p.arguments, "--peer", r.address())
+			p.arguments = append(p.arguments, "--peer", r.Address())
 		}
 	}
 	return s.launch(p)
@@ -254,7 +255,7 @@
 	}}
 	for _, e := range s.order {
 		if r := s.relays[e]; r != nil && strings.HasPrefix(e, dc.Name) {
-			p.arguments = append(p.arguments, "--entry", r.address())
+			p.arguments = append(p.arguments, "--entry", r.Address())
 		}
 	}
 	return s.launch(p)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -24,6 +24,7 @@
 	Operators    string   `long:"operators" env:"JASMINEBAY_OPERATORS" description:"address that serves operators and metrics" value-name:"IP:PORT" default:"0.0.0.0:7081"`
 	Listen       string   `long:"listen" env:"JASMINEBAY_LISTEN" description:"address that serves agents and other entries" value-name:"IP:PORT" default:"0.0.0.0:7082"`
 	Advertise    string   `long:"advertise" env:"JASMINEBAY_ADVERTISE" description:"address at which agents and other entries reach this one" value-name:"IP:PORT" required:"yes"`
+	PeerAddress  string   `long:"advertise-peers" env:"JASMINEBAY_ADVERTISE_PEERS" description:"address at which other entries reach this one, if it is another" value-name:"IP:PORT"`
 	Store        string   `long:"store" env:"JASMINEBAY_STORE" description:"URL of the platform's key-value service" value-name:"URL" required:"yes"`
 	Peers        []string `long:"peer" env:"JASMINEBAY_PEERS" env-delim:"," description:"address of another entry, for when the key-value service is down; may be repeated" value-name:"IP:PORT"`
 	DrainTimeout string   `long:"drain-timeout" env:"JASMINEBAY_DRAIN_TIMEOUT" description:"bound on ending the requests in flight on SIGTERM" value-name:"DURATION" default:"30s"`
@@ -51,6 +52,9 @@
 	f.address("operators", s.Operators)
 	f.address("listen", s.Listen)
 	f.address("advertise", s.Advertise)
+	if s.PeerAddress != "" {
+		f.address("advertise-peers", s.PeerAddress)
+	}
 	f.url("store", s.Store)
 	for _, p := range s.Peers {
 		f.address("peer", p)
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -61,6 +61,7 @@
 	Environment string       `json:"environment"`
 	Objective   Objective    `json:"objective"`
 	Guards      Guards       `json:"guards"`
+	Placement   Placement    `json:"placement"`
 	Services    []Service    `json:"services"`
 	TaskKinds   []TaskKind   `json:"task-kinds"`
 	Teams       []Team       `json:"teams"`
@@ -86,6 +87,11 @@
 	EvictionsPerMinute float64 `json:"evictions-per-minute"`
 }
 
+// Placement tells how tasks find a worker.
+type Placement struct {
+	Policy string `json:"policy"`
+}
+
 // Service is a latency-critical service that upstreams serve.
 type Service struct {
 	Name    string  `json:"name"`
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -11,6 +11,9 @@
 // Policies lists the routing policies by name.
 var Policies = []string{"two-choices", "least-loaded", "round-robin", "random", "threshold-neighbour"}
 
+// Placements lists the placement policies by name.
+var Placements = []string{"pair-score", "least-loaded", "first-fit"}
+
 // Ranges of a document's fields.
 const (
 	timeoutMin  = time.Millisecond
@@ -56,6 +59,9 @@
 	checkShare(&f, "$.objective.throughput", d.Objective.Throughput)
 	checkShare(&f, "$.objective.evictions", d.Objective.Evictions)
 	d.checkGuards(&f)
+	if !slices.Contains(Placements, d.Placement.Policy) {
+		f.add("$.placement.policy", "%q is not one of %q", d.Placement.Policy, Placements)
+	}
 	checkList(&f, "$.services", len(d.Services), func(i int) string { return d.Services[i].Name })
 	for i := range d.Services {
 		d.Services[i].check(&f, fmt.Sprintf("$.services[%d]", i))
