--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -132,7 +132,7 @@
 
 func (a *Agent) hello() *peerpb.Hello {
 	h := &peerpb.Hello{
-		Version: peer.Version, Id: a.options.ID, Role: peer.RoleAgent, Incarnation: a.incarnation,
+		Version: peer.Version, System: a.options.System, Id: a.options.ID, Role: peer.RoleAgent, Incarnation: a.incarnation,
 		DataCentre: a.options.DataCentre, Rack: a.options.Rack,
 	}
 	_ = a.loop.Do(func() { h.Capacity = toProto(a.control.ledger.Capacity()) })
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -10,7 +10,9 @@
 
 // Options configures an Agent.
 type Options struct {
-	ID         string
+	ID string
+	// System names the deployment; entries of another one are refused.
+	System     string
 	DataCentre string
 	Rack       string
 	// Entries are the addresses that are dialled first; the balancer's may be one.
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -64,7 +64,7 @@
 func provideEntryOptions(s *settings.Entry, store driver.Store, p driver.Placer, h *config.Holder, w *config.Watcher,
 	ed *config.Editor, c *claim.Registry, r *route.Router, log *slog.Logger, m *telemetry.Metrics) entry.Options {
 	return entry.Options{
-		ID: s.ID, DataCentre: s.DataCentre, Advertise: s.Advertise, AdvertisePeers: s.PeerAddress, Peers: s.Peers, DrainTimeout: s.Drain(),
+		ID: s.ID, System: s.System, DataCentre: s.DataCentre, Advertise: s.Advertise, AdvertisePeers: s.PeerAddress, Peers: s.Peers, DrainTimeout: s.Drain(),
 		Grant: s.GrantSpan(), Margin: s.GrantMargin(), StoreSilence: s.Silence(),
 		Store: store, Placer: p, Holder: h, Watcher: w, Editor: ed, Claims: c, Router: r, Log: log, Metrics: m,
 	}
@@ -81,7 +81,7 @@
 
 func provideAgentOptions(s *settings.Agent, w driver.Worker, u driver.Upstream, log *slog.Logger, m *telemetry.Metrics) agent.Options {
 	return agent.Options{
-		ID: s.ID, DataCentre: s.DataCentre, Rack: s.Rack, Entries: s.Entries, Reservation: s.Reservation(),
+		ID: s.ID, System: s.System, DataCentre: s.DataCentre, Rack: s.Rack, Entries: s.Entries, Reservation: s.Reservation(),
 		Heartbeat: s.HeartbeatInterval(), DrainTimeout: s.Drain(), Worker: w, Upstream: u, Log: log, Metrics: m,
 	}
 }
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -60,7 +60,7 @@
 }
 
 func (e *Entry) accept(ctx context.Context, conn net.Conn) {
-	s, control, hello, err := peer.Accept(conn)
+	s, control, hello, err := peer.Accept(conn, e.options.System)
 	if err != nil {
 		e.log.Warn("session refused", "remote", conn.RemoteAddr().String(), "error", err.Error())
 		return
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -13,7 +13,9 @@
 
 // Options configures an Entry.
 type Options struct {
-	ID         string
+	ID string
+	// System names the deployment; processes of another one are refused.
+	System     string
 	DataCentre string
 	// Advertise is the address at which agents reach this entry, AdvertisePeers the one
 	// for other entries; empty means the same.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -106,7 +106,7 @@
 
 func (e *Entry) hello() *peerpb.Hello {
 	return &peerpb.Hello{
-		Version: peer.Version, Id: e.options.ID, Role: peer.RoleEntry, Incarnation: e.incarnation,
+		Version: peer.Version, System: e.options.System, Id: e.options.ID, Role: peer.RoleEntry, Incarnation: e.incarnation,
 		DataCentre: e.options.DataCentre, Address: e.options.Advertise, PeerAddress: e.peerAddress(),
 	}
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -193,6 +193,8 @@
 		}
 		if i == 0 {
 			row = append(row, fmt.Sprint(r.Doubled), fmt.Sprint(r.UpstreamRuns), fmt.Sprint(r.TasksFinished), fmt.Sprintf("%.0f", r.CoreSeconds), fmt.Sprint(r.Evictions))
+		} else {
+			row = append(row, "", "", "", "", "")
 		}
 		rows = append(rows, row)
 	}
--- a/internal/local/cluster.go
+++ b/internal/local/cluster.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/app"
@@ -55,6 +57,7 @@
 // Cluster is a running system.
 type Cluster struct {
 	options  Options
+	system   string
 	document *document.Document
 	store    *kv.Server
 	storeURL string
@@ -89,7 +92,8 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	c := &Cluster{options: o, document: d, store: kv.New(kv.Options{}), ctx: ctx, cancel: cancel}
+	system := "local-" + strconv.FormatUint(rand.Uint64(), 36)
+	c := &Cluster{options: o, system: system, document: d, store: kv.New(kv.Options{}), ctx: ctx, cancel: cancel}
 	if err := c.start(); err != nil {
 		c.Stop()
 		return nil, err
@@ -153,7 +157,7 @@
 		}
 	}
 	s := &settings.Entry{
-		ID: id, DataCentre: dataCentre, Environment: c.document.Environment,
+		ID: id, System: c.system, DataCentre: dataCentre, Environment: c.document.Environment,
 		Callers: l.Callers.Addr().String(), Operators: l.Operators.Addr().String(), Listen: l.Peers.Addr().String(),
 		Advertise: l.Peers.Addr().String(), Store: c.storeURL, LogLevel: "info",
 		DrainTimeout: defaultDrain.String(), Grant: c.options.Grant.String(), Margin: c.options.Margin.String(),
--- a/internal/local/machine.go
+++ b/internal/local/machine.go
@@ -103,7 +103,7 @@
 func (m *Machine) startAgent(l net.Listener) error {
 	c := m.cluster
 	s := &settings.Agent{
-		ID: m.ID, DataCentre: m.DataCentre, Rack: m.Rack, Listen: m.listen, Worker: m.workerURL,
+		ID: m.ID, System: c.system, DataCentre: m.DataCentre, Rack: m.Rack, Listen: m.listen, Worker: m.workerURL,
 		ReserveCPU: c.options.Machine.Reserved.MilliCPU(), ReserveBytes: c.options.Machine.Reserved.MemoryBytes(),
 		Heartbeat: c.options.Heartbeat.String(), DrainTimeout: defaultDrain.String(), LogLevel: "info",
 	}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// listen accepts one session of the system "here" and reports how that went.
+func listen(t *testing.T) (string, chan error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	accepted := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s, control, _, err := Accept(conn, "here")
+		accepted <- err
+		if err != nil {
+			return
+		}
+		_ = control.SendWelcome(&peerpb.Welcome{Id: "entry"})
+		for {
+			stream, err := s.Next()
+			if err != nil {
+				return
+			}
+			if f, err := stream.Receive(); err == nil {
+				_ = stream.Send(f)
+			}
+			stream.Close()
+		}
+	}()
+	return l.Addr().String(), accepted
+}
+
+func TestSessions(t *testing.T) {
+	cases := []struct {
+		name  string
+		hello *peerpb.Hello
+		want  string
+	}{
+		{"same system", &peerpb.Hello{Version: Version, Id: "a", Role: RoleAgent, System: "here"}, ""},
+		{"another system at a reused address", &peerpb.Hello{Version: Version, Id: "a", Role: RoleAgent, System: "there"}, "system"},
+		{"another version", &peerpb.Hello{Version: Version + 1, Id: "a", Role: RoleAgent, System: "here"}, "version"},
+		{"no id", &peerpb.Hello{Version: Version, Role: RoleAgent, System: "here"}, "id"},
+		{"unknown role", &peerpb.Hello{Version: Version, Id: "a", Role: "boss", System: "here"}, "role"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, accepted := listen(t)
+			s, _, welcome, err := Dial(t.Context(), address, c.hello)
+			if c.want != "" {
+				is.True(err != nil && strings.Contains(err.Error(), c.want)) // the dialling side is told why
+				is.True(<-accepted != nil)
+				return
+			}
+			is.NoErr(err)
+			defer s.Close()
+			is.NoErr(<-accepted)
+			is.Equal(welcome.GetId(), "entry")
+			f, err := s.Call(t.Context(), CancelFrame(&peerpb.Cancel{Id: "x"}))
+			is.NoErr(err)
+			is.Equal(f.GetCancel().GetId(), "x")
+		})
+	}
+}
+
+func TestSilentDiallerIsDropped(t *testing.T) {
+	is := is.New(t)
+	address, accepted := listen(t)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	select {
+	case err := <-accepted:
+		is.True(err != nil)
+	case <-time.After(3 * handshakeTimeout):
+		t.Fatal("a dialler that says nothing was kept")
+	}
+}
+
+func TestCallEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	address, _ := listen(t)
+	s, _, _, err := Dial(t.Context(), address, &peerpb.Hello{Version: Version, Id: "a", Role: RoleAgent, System: "here"})
+	is.NoErr(err)
+	defer s.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = s.Call(ctx, DrainFrame())
+	is.True(err != nil)
+}
+
+// pipe returns a Stream that reads data.
+func pipe(data []byte) *Stream {
+	return &Stream{reader: bufio.NewReader(bytes.NewReader(data))}
+}
+
+func encode(frames ...*peerpb.Frame) []byte {
+	var b bytes.Buffer
+	for _, f := range frames {
+		_, _ = protodelim.MarshalTo(&b, f)
+	}
+	return b.Bytes()
+}
+
+func TestBodies(t *testing.T) {
+	whole := EndFrame(&peerpb.End{Complete: true})
+	cases := []struct {
+		name   string
+		size   int64
+		frames []*peerpb.Frame
+		want   string
+		ok     bool
+	}{
+		{"whole", 4, []*peerpb.Frame{ChunkFrame([]byte("ab")), ChunkFrame([]byte("cd")), whole}, "abcd", true},
+		{"empty", 0, []*peerpb.Frame{whole}, "", true},
+		{"cut before the end", 4, []*peerpb.Frame{ChunkFrame([]byte("abcd"))}, "", false},
+		{"ended as incomplete", 4, []*peerpb.Frame{ChunkFrame([]byte("abcd")), EndFrame(&peerpb.End{})}, "", false},
+		{"shorter than announced", 5, []*peerpb.Frame{ChunkFrame([]byte("abcd")), whole}, "", false},
+		{"longer than allowed", 4, []*peerpb.Frame{ChunkFrame(make([]byte, 20)), whole}, "", false},
+		{"announced too large", 11, []*peerpb.Frame{whole}, "", false},
+		{"negative", -1, []*peerpb.Frame{whole}, "", false},
+		{"another frame", 4, []*peerpb.Frame{DrainFrame()}, "", false},
+		{"an empty frame", 4, []*peerpb.Frame{{}}, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			body, err := pipe(encode(c.frames...)).ReceiveBody(c.size, 10)
+			is.Equal(err == nil, c.ok)
+			is.Equal(string(body), c.want)
+		})
+	}
+}
+
+// FuzzReceive checks that no bytes make the frame reader fail other than by an error, and
+// that it allocates no more than a frame may hold.
+func FuzzReceive(f *testing.F) {
+	f.Add(encode(RequestFrame(&peerpb.RequestHead{Id: "x", BodyBytes: 3}), ChunkFrame([]byte("abc")), EndFrame(&peerpb.End{Complete: true})))
+	f.Add([]byte("\xff\xff\xff\xff\x7f"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := pipe(data)
+		for range 100 {
+			frame, err := s.Receive()
+			if err != nil {
+				return
+			}
+			if frame.GetBody() == nil {
+				t.Fatal("a frame without a body was passed on")
+			}
+		}
+	})
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -102,9 +102,9 @@
 	return control, welcome, nil
 }
 
-// Accept takes a connection from a dialling process and reads its Hello. The caller
-// answers on the control stream by Welcome.
-func Accept(conn net.Conn) (s *Session, control *Stream, hello *peerpb.Hello, err error) {
+// Accept takes a connection from a dialling process of the same system and reads its
+// Hello. The caller answers on the control stream by Welcome.
+func Accept(conn net.Conn, system string) (s *Session, control *Stream, hello *peerpb.Hello, err error) {
 	defer errs.Annotate(&err, "peer: accept")
 	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
@@ -112,7 +112,7 @@
 		return nil, nil, nil, err
 	}
 	s = &Session{mux: mux, conn: conn}
-	control, hello, err = s.greet()
+	control, hello, err = s.greet(system)
 	if err != nil {
 		s.Close()
 		return nil, nil, nil, err
@@ -120,7 +120,7 @@
 	return s, control, hello, nil
 }
 
-func (s *Session) greet() (*Stream, *peerpb.Hello, error) {
+func (s *Session) greet(system string) (*Stream, *peerpb.Hello, error) {
 	timer := time.AfterFunc(handshakeTimeout, s.Close)
 	defer timer.Stop()
 	control, err := s.Next()
@@ -136,20 +136,27 @@
 	if hello == nil {
 		return nil, nil, fmt.Errorf("%w: %T in place of a hello", ErrProtocol, f.GetBody())
 	}
-	if hello.GetVersion() != Version {
-		text := fmt.Sprintf("protocol version %d, this side speaks %d", hello.GetVersion(), Version)
+	if text := unwelcome(hello, system); text != "" {
 		_ = control.Send(welcomeFrame(&peerpb.Welcome{Version: Version, Error: text}))
-		return nil, nil, errors.New(text)
-	}
-	if hello.GetId() == "" || (hello.GetRole() != RoleAgent && hello.GetRole() != RoleEntry) {
-		text := fmt.Sprintf("hello with id %q and role %q", hello.GetId(), hello.GetRole())
-		_ = control.Send(welcomeFrame(&peerpb.Welcome{Version: Version, Error: text}))
-		return nil, nil, errors.New(text)
+		return nil, nil, errors.New("peer: " + text)
 	}
 	control.SetDeadline(time.Time{})
 	return control, hello, nil
 }
 
+// unwelcome tells why a Hello is refused, or returns "".
+func unwelcome(hello *peerpb.Hello, system string) string {
+	switch {
+	case hello.GetVersion() != Version:
+		return fmt.Sprintf("protocol version %d, this side speaks %d", hello.GetVersion(), Version)
+	case hello.GetSystem() != system:
+		return fmt.Sprintf("a process of system %q, this side is of %q", hello.GetSystem(), system)
+	case hello.GetId() == "" || hello.GetRole() != RoleAgent && hello.GetRole() != RoleEntry:
+		return fmt.Sprintf("hello with id %q and role %q", hello.GetId(), hello.GetRole())
+	}
+	return ""
+}
+
 // SendWelcome answers a Hello on the control stream.
 func (s *Stream) SendWelcome(w *peerpb.Welcome) error {
 	w.Version = Version
@@ -177,6 +184,9 @@
 // Call opens a stream, sends one frame and returns the one that answers it.
 func (s *Session) Call(ctx context.Context, frame *peerpb.Frame) (answer *peerpb.Frame, err error) {
 	defer errs.Annotate(&err, "peer: call")
+	if err = ctx.Err(); err != nil {
+		return nil, err
+	}
 	stream, err := s.Open()
 	if err != nil {
 		return nil, err
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -15,6 +15,7 @@
 // Agent holds the settings of an agent.
 type Agent struct {
 	ID           string   `long:"id" env:"JASMINEBAY_ID" description:"name of this worker or upstream VM" value-name:"NAME" required:"yes"`
+	System       string   `long:"system" env:"JASMINEBAY_SYSTEM" description:"name of the deployment; entries of another one are refused" value-name:"NAME" default:"jasminebay"`
 	DataCentre   string   `long:"data-centre" env:"JASMINEBAY_DATA_CENTRE" description:"data centre of this VM" value-name:"NAME" required:"yes"`
 	Rack         string   `long:"rack" env:"JASMINEBAY_RACK" description:"rack of this VM" value-name:"NAME" default:"none"`
 	Entries      []string `long:"entry" env:"JASMINEBAY_ENTRIES" env-delim:"," description:"address of an entry or of the balancer in front of them; may be repeated" value-name:"IP:PORT" required:"yes"`
@@ -39,6 +40,7 @@
 func (s *Agent) Check() error {
 	var f Faults
 	f.name("id", s.ID)
+	f.name("system", s.System)
 	f.name("data-centre", s.DataCentre)
 	f.name("rack", s.Rack)
 	for _, e := range s.Entries {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -18,6 +18,7 @@
 // Entry holds the settings of an entry.
 type Entry struct {
 	ID           string   `long:"id" env:"JASMINEBAY_ID" description:"name of this entry" value-name:"NAME" required:"yes"`
+	System       string   `long:"system" env:"JASMINEBAY_SYSTEM" description:"name of the deployment; processes of another one are refused" value-name:"NAME" default:"jasminebay"`
 	DataCentre   string   `long:"data-centre" env:"JASMINEBAY_DATA_CENTRE" description:"data centre of this VM" value-name:"NAME" required:"yes"`
 	Environment  string   `long:"environment" env:"JASMINEBAY_ENVIRONMENT" description:"environment whose document is in force here" value-name:"NAME" default:"production"`
 	Callers      string   `long:"callers" env:"JASMINEBAY_CALLERS" description:"address that serves callers" value-name:"IP:PORT" default:"0.0.0.0:7080"`
@@ -46,6 +47,7 @@
 func (s *Entry) Check() error {
 	var f Faults
 	f.name("id", s.ID)
+	f.name("system", s.System)
 	f.name("data-centre", s.DataCentre)
 	f.name("environment", s.Environment)
 	f.address("callers", s.Callers)
