--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -49,8 +49,17 @@
 	}
 }
 
-// commitOnce commits what is pending and returns how long to gather the next batch: about
-// as long as the commit took, so that a slow service gets fewer and larger writes.
+// gather returns how long to gather the next batch: about as long as a commit took, so that
+// a slow service gets fewer and larger writes, and longer the more cells share its rate.
+func (o *Owner) gather(took time.Duration) time.Duration {
+	share := commitMin
+	if d := o.options.Document(); d != nil {
+		share = time.Duration(d.TotalCells()) * time.Second / commitsPerSecond
+	}
+	return min(max(took, share, commitMin), commitMax)
+}
+
+// commitOnce commits what is pending and returns how long to gather the next batch.
 func (o *Owner) commitOnce(ctx context.Context) (interval time.Duration, err error) {
 	b := o.takeBatch()
 	if len(b.records) == 0 {
@@ -74,7 +83,7 @@
 		o.c.confirmed = o.journal.Confirmed()
 		runAll(b.effects)
 	})
-	return min(max(took, commitMin), commitMax), err
+	return o.gather(took), err
 }
 
 func runAll(effects []func()) {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -30,8 +30,10 @@
 	verifyInterval = 3 * time.Second
 	commitMin      = 20 * time.Millisecond
 	commitMax      = 250 * time.Millisecond
-	commandTimeout = 5 * time.Second
-	releaseTimeout = 3 * time.Second
+	// commitsPerSecond bounds the commits of all cells together.
+	commitsPerSecond = 200
+	commandTimeout   = 5 * time.Second
+	releaseTimeout   = 3 * time.Second
 	// silentAfter is how old a worker's last report may be for new tasks to be placed there.
 	silentAfter = 3 * time.Second
 	// settleAfterTake is how long a new owner waits before it says that a task fits nowhere.
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 	mode     Mode
 	changed  chan struct{}
 	conns    map[net.Conn]bool
+	passed   atomic.Int64
 }
 
 // New returns a Relay in front of the target address that serves until Close.
@@ -52,6 +54,9 @@
 // Address returns the address at which the relay listens.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
+// Passed returns the bytes that have passed in both directions.
+func (r *Relay) Passed() int64 { return r.passed.Load() }
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -163,6 +168,7 @@
 		time.Sleep(time.Until(c.due))
 		m := r.gate(up)
 		passed += len(c.data)
+		r.passed.Add(int64(len(c.data)))
 		if !up && m.CutAfter > 0 && passed > m.CutAfter {
 			_, _ = to.Write(c.data[:max(0, len(c.data)-(passed-m.CutAfter))])
 			return
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -250,3 +250,6 @@
 func (s *Server) getRecord(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Record())
 }
+
+// Address returns the address that the upstream announces.
+func (s *Server) Address() string { return s.options.Address }
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -188,6 +188,14 @@
 	return nil
 }
 
+// TotalCells returns the number of cells of all data centres.
+func (d *Document) TotalCells() (total int) {
+	for _, c := range d.DataCentres {
+		total += max(c.Cells, 1)
+	}
+	return total
+}
+
 // Cells returns the number of cells of a data centre, at least 1.
 func (d *Document) Cells(dataCentre string) int {
 	for _, c := range d.DataCentres {
