Throttle and place by what the model expects, and hold tasks back

Cause: one throttle each 2 s per worker, after the harm was measured, and even throttled tasks slow the services 1.9 times when five run beside them. Ruled out: slow learning alone, as throttling by expectation alone gave 332 ms.

The owner now throttles at once what the model expects to harm too much, a class that was never seen included (the margin grows with the weight of tail latency), and does not place a task that would be too much even when throttled.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,7 +19,8 @@
 const (
 	// bodiesMaxBytes bounds the request bodies that are held at a time.
 	bodiesMaxBytes = 48 << 20
-	expireInterval = 20 * time.Millisecond
+	expireInterval = 250 * time.Millisecond
+	drainPoll      = 20 * time.Millisecond
 	recordsSweep   = 10 * time.Second
 )
 
@@ -117,7 +118,7 @@
 	a.log.Info("draining", "in-flight", count, "timeout", a.options.DrainTimeout.String())
 	deadline := began.Add(a.options.DrainTimeout)
 	for a.inFlight() > 0 && time.Now().Before(deadline) {
-		time.Sleep(expireInterval)
+		time.Sleep(drainPoll)
 	}
 	// Entries learn of the end from a last report; one heartbeat lets it out.
 	time.Sleep(min(a.options.Heartbeat, time.Until(deadline)))
--- a/internal/cell/guard.go
+++ b/internal/cell/guard.go
@@ -12,7 +12,9 @@
 	// first shows in the reports before the second is decided.
 	throttleDelay = 2 * time.Second
 	budgetBurst   = 2.0
-	throttleCores = 0.25
+	// throttleShare is the share of its processors that a throttled task keeps.
+	throttleShare   = 0.25
+	microsPerSecond = 1e6
 )
 
 // budget bounds the evictions of a cell over time.
@@ -49,20 +51,27 @@
 func (o *Owner) learn(w *worker, now time.Time) {
 	processors := map[string]float64{}
 	for _, a := range w.assigned {
-		cores := float64(a.reserved.MilliCPU()) / 1000
-		if w.throttled[a.task] {
-			cores *= throttleCores
-		}
-		processors[a.class] += cores
+		processors[a.class] += w.cores(a)
 	}
 	w.mix.Observe(now, processors)
 	for _, p := range w.pressures {
-		o.c.model.Learn(p.GetKind(), time.Duration(p.GetP99Micros()*int64(time.Microsecond)).Seconds(), w.mix)
+		o.c.model.Learn(p.GetKind(), float64(p.GetP99Micros())/microsPerSecond, w.mix)
+	}
+}
+
+// caution is how little is dared with classes that were seen seldom: the square of the
+// weight of tail latency.
+func (o *Owner) caution() float64 {
+	d := o.options.Document()
+	if d == nil {
+		return 0
 	}
+	return d.Objective.TailLatency * d.Objective.TailLatency
 }
 
-// guard protects services from the tasks beside them: it throttles first and evicts what
-// harms most if that was not enough for long.
+// guard protects services from the tasks beside them: it throttles what is expected to
+// harm too much, throttles more if the services are still too slow, and evicts what harms
+// most if that was not enough for long.
 func (o *Owner) guard(now time.Time) {
 	d := o.options.Document()
 	for _, w := range o.c.workers {
@@ -70,13 +79,14 @@
 			clear(w.throttled)
 			continue
 		}
+		o.throttleExpected(w, d.Guards.ThrottleAt)
 		pressure := w.pressure()
 		switch {
 		case pressure >= d.Guards.ThrottleAt:
 			w.calmAt = time.Time{}
-			o.throttle(w, pressure, now)
+			o.throttleMeasured(w, pressure, now)
 		case pressure < d.Guards.ThrottleAt*calmShare:
-			o.calm(w, now)
+			o.calm(w, d.Guards.ThrottleAt, now)
 		}
 		if pressure < d.Guards.EvictAt {
 			w.pressedAt = time.Time{}
@@ -91,19 +101,78 @@
 	}
 }
 
-func (o *Owner) throttle(w *worker, pressure float64, now time.Time) {
+// blocks reports whether a task that adds the given inflation, throttled, would make a
+// worker's services too slow. A worker without tasks may always take one, so that patient
+// work goes on where services are slow by themselves.
+func (o *Owner) blocks(w *worker, inflation float64) bool {
+	d := o.options.Document()
+	if d == nil || !d.Guards.Enabled || len(w.assigned) == 0 {
+		return false
+	}
+	return o.expectedWith(w, inflation) >= d.Guards.ThrottleAt
+}
+
+// expected returns the ratio of latency to target that the model expects on a worker for
+// the kind of request that is closest to its target.
+func (o *Owner) expected(w *worker) float64 { return o.expectedWith(w, 0) }
+
+// expectedWith is expected with a further inflation.
+func (o *Owner) expectedWith(w *worker, further float64) (worst float64) {
+	inflation := 1 + further
+	caution := o.caution()
+	for _, a := range w.assigned {
+		inflation += o.c.model.Bound(a.class, caution) * w.cores(a)
+	}
+	for _, p := range w.pressures {
+		if target := float64(p.GetTargetMicros()) / microsPerSecond; target > 0 {
+			worst = max(worst, o.c.model.Baseline(p.GetKind())/target*inflation)
+		}
+	}
+	return worst
+}
+
+// cores returns the processors that an assignment uses.
+func (w *worker) cores(a *assignment) float64 {
+	cores := float64(a.reserved.MilliCPU()) / 1000
+	if w.throttled[a.task] {
+		cores *= throttleShare
+	}
+	return cores
+}
+
+// throttleExpected throttles until the model expects the services to be fast enough.
+func (o *Owner) throttleExpected(w *worker, limit float64) {
+	for expected := o.expected(w); expected >= limit; expected = o.expected(w) {
+		a := o.worst(w, func(a *assignment) bool { return !w.throttled[a.task] })
+		if a == nil {
+			return
+		}
+		o.throttle(w, a, expected, "expected")
+	}
+}
+
+// throttleMeasured throttles one task because the services are too slow all the same.
+func (o *Owner) throttleMeasured(w *worker, pressure float64, now time.Time) {
+	if now.Before(w.guardUntil) {
+		return
+	}
 	a := o.worst(w, func(a *assignment) bool { return !w.throttled[a.task] })
-	if a == nil || now.Before(w.guardUntil) {
+	if a == nil {
 		return
 	}
-	w.throttled[a.task] = true
 	w.guardUntil = now.Add(throttleDelay)
+	o.throttle(w, a, pressure, "measured")
+}
+
+func (o *Owner) throttle(w *worker, a *assignment, pressure float64, reason string) {
+	w.throttled[a.task] = true
 	o.options.Metrics.Guards.WithLabelValues("throttle").Inc()
-	o.log.Info("task throttled", "worker", w.Name, "task", a.task, "class", a.class, "pressure", pressure)
+	o.log.Info("task throttled", "worker", w.Name, "task", a.task, "class", a.class, "pressure", pressure, "reason", reason)
 }
 
-// calm lifts one throttle after the worker has been calm for a while.
-func (o *Owner) calm(w *worker, now time.Time) {
+// calm lifts one throttle after the worker has been calm for a while, if the model expects
+// it to stay so.
+func (o *Owner) calm(w *worker, limit float64, now time.Time) {
 	if w.calmAt.IsZero() {
 		w.calmAt = now
 	}
@@ -113,6 +182,10 @@
 	w.calmAt = now
 	for task := range w.throttled {
 		delete(w.throttled, task)
+		if o.expected(w) >= limit*calmShare {
+			w.throttled[task] = true
+			continue
+		}
 		o.options.Metrics.Guards.WithLabelValues("lift").Inc()
 		o.log.Info("throttle lifted", "worker", w.Name, "task", task)
 		return
@@ -134,8 +207,9 @@
 // worst returns the assignment that is expected to harm the services most.
 func (o *Owner) worst(w *worker, eligible func(*assignment) bool) (worst *assignment) {
 	harm := -1.0
+	caution := o.caution()
 	for _, a := range w.assigned {
-		h := o.c.model.Harm(a.class) * float64(a.reserved.MilliCPU())
+		h := o.c.model.Bound(a.class, caution) * w.cores(a)
 		if eligible(a) && (h > harm || h == harm && a.task < worst.task) {
 			worst, harm = a, h
 		}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -171,7 +171,7 @@
 			seat = r.owner.options.Placer.Place(need, r.seats)
 		}
 		if seat < 0 {
-			if len(choices) == 0 {
+			if len(choices) == 0 && !r.blocked() {
 				r.failed = append(r.failed, need)
 			}
 			for _, c := range choices {
@@ -185,6 +185,12 @@
 	return choices
 }
 
+// blocked reports whether a seat was passed over for the sake of services, which says
+// nothing of tasks of other classes.
+func (r *round) blocked() bool {
+	return slices.ContainsFunc(r.seats, func(s driver.Seat) bool { return s.Blocked })
+}
+
 // hopeless reports whether a smaller need has found no seat in this round.
 func (r *round) hopeless(need driver.Resources) bool {
 	for _, f := range r.failed {
@@ -207,12 +213,14 @@
 		}
 	}
 	cores := float64(resources(g.task.GetResources()).MilliCPU()) / 1000
-	harm := r.owner.c.model.Bound(g.task.GetClass()) * cores
+	harm := r.owner.c.model.Bound(g.task.GetClass(), r.owner.caution()) * cores
 	for i := range r.seats {
 		r.seats[i].SameJob = racks[r.seats[i].Rack]
-		r.seats[i].Harm = 0
+		r.seats[i].Harm, r.seats[i].Blocked = 0, false
 		if r.seats[i].Serves {
-			r.seats[i].Harm = harm + r.owner.c.workers[r.seats[i].Worker].pressure()
+			w := r.owner.c.workers[r.seats[i].Worker]
+			r.seats[i].Harm = harm + w.pressure()
+			r.seats[i].Blocked = r.owner.blocks(w, harm*throttleShare)
 		}
 	}
 }
--- a/internal/driver/place.go
+++ b/internal/driver/place.go
@@ -13,6 +13,8 @@
 	Harm float64
 	// SameJob counts the tasks of the same job in the worker's rack.
 	SameJob int
+	// Blocked tells that the task would slow the worker's services too much.
+	Blocked bool
 	// Serves tells that latency-critical services run on the worker.
 	Serves bool
 }
--- a/internal/driver/place/place.go
+++ b/internal/driver/place/place.go
@@ -40,7 +40,7 @@
 // Place implements driver.Placer.
 func (FirstFit) Place(need driver.Resources, seats []driver.Seat) int {
 	for i := range seats {
-		if need.Fits(seats[i].Free) {
+		if !seats[i].Blocked && need.Fits(seats[i].Free) {
 			return i
 		}
 	}
@@ -95,7 +95,7 @@
 func best(need driver.Resources, seats []driver.Seat, cost func(*driver.Seat) float64) int {
 	chosen, lowest := -1, 0.0
 	for i := range seats {
-		if !need.Fits(seats[i].Free) {
+		if seats[i].Blocked || !need.Fits(seats[i].Free) {
 			continue
 		}
 		if c := cost(&seats[i]); chosen < 0 || c < lowest {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -17,6 +17,9 @@
 	redialMin      = 100 * time.Millisecond
 	redialMax      = 3 * time.Second
 	gossipInterval = 500 * time.Millisecond
+	// entriesEvery is how seldom a peer is told the list of entries, which the key-value
+	// service tells it otherwise.
+	entriesEvery = 16
 )
 
 // peerSession is a session that this entry has dialled to another one, with the peer's
@@ -346,7 +349,9 @@
 	_ = e.loop.Do(func() {
 		e.control.sequence++
 		s.Sequence = e.control.sequence
-		s.Entries, _ = e.entries()
+		if s.Sequence%entriesEvery == 1 || !e.registered.Load() {
+			s.Entries, _ = e.entries()
+		}
 		s.Services = e.serviceLoads()
 		s.Agents, s.AgentsRevision = e.agentsRevision()
 	})
--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -14,8 +14,9 @@
 	learningRate = 0.2
 	// span is the time that a report describes.
 	span = 5 * time.Second
-	// caution scales the confidence bound of classes that were seen seldom.
-	caution = 0.5
+	// unseenHarm is the inflation per processor that is expected of a class that was never
+	// seen, for a caution of 1.
+	unseenHarm = 0.3
 	// baselineDrift is how fast a kind's undisturbed latency may grow, per report.
 	baselineDrift = 0.002
 	mixMinimum    = 1e-3
@@ -97,7 +98,11 @@
 // Harm returns the inflation that one processor's worth of class is expected to cause.
 func (m *Model) Harm(class string) float64 { return m.harm[class] }
 
-// Bound returns Harm with a margin for classes that were seen seldom.
-func (m *Model) Bound(class string) float64 {
-	return m.harm[class] + caution/math.Sqrt(1+m.seen[class])/10
+// Bound returns Harm with a margin for classes that were seen seldom; caution in [0, 1]
+// scales the margin.
+func (m *Model) Bound(class string, caution float64) float64 {
+	return m.harm[class] + caution*unseenHarm/math.Sqrt(1+m.seen[class])
 }
+
+// Baseline returns the undisturbed latency of a kind of request in seconds, 0 if unknown.
+func (m *Model) Baseline(kind string) float64 { return m.baselines[kind] }
