--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -252,6 +252,11 @@
 		return
 	}
 	o.c.sweptAt = now
+	for task, until := range o.c.preempted {
+		if now.After(until) {
+			delete(o.c.preempted, task)
+		}
+	}
 	swept := 0
 	for id, job := range o.c.state.jobs {
 		if swept < sweepMax && Done(job) && now.Sub(endOf(job)) > o.options.Retention {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -98,6 +98,8 @@
 	taken     time.Time
 	model     *interfere.Model
 	budget    budget
+	// preempted tells until when a waiting task asks for no more room.
+	preempted map[string]time.Time
 	sizes     *sizes
 	dirty     bool
 	stopped   bool
@@ -117,6 +119,7 @@
 		c: control{
 			state: state, workers: map[string]*worker{}, queue: newQueue(), use: map[string]driver.Resources{},
 			confirmed: journal.Confirmed(), taken: time.Now(), model: interfere.New(), sizes: newSizes(),
+			preempted: map[string]time.Time{},
 		},
 	}
 	owner.restore(before)
@@ -138,7 +141,7 @@
 			case cellpb.Phase_PHASE_RUNNING:
 				w := o.workerNamed(t.GetWorker())
 				w.grantEnd = o.c.taken.Add(wait)
-				w.assign(&assignment{task: t.GetId(), attempt: t.GetAttempt(), class: t.GetClass(), reserved: resources(t.GetReserved()), checkpoint: t.GetCheckpoint(), confirmed: true})
+				w.assign(&assignment{task: t.GetId(), attempt: t.GetAttempt(), class: t.GetClass(), urgency: job.GetUrgency(), reserved: resources(t.GetReserved()), checkpoint: t.GetCheckpoint(), confirmed: true})
 				o.addUse(job.GetTeam(), resources(t.GetReserved()))
 			}
 		}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -134,6 +134,9 @@
 	choices := r.choose(group)
 	if choices == nil {
 		r.owner.options.Metrics.Placements.WithLabelValues("no-room").Inc()
+		if task.job.GetUrgency() == urgentRank && !task.job.GetGang() {
+			r.owner.preempt(task.task.GetId(), r.needOf(task.task), r.now)
+		}
 		return false
 	}
 	r.owner.c.queue.remove(l, e)
@@ -250,6 +253,7 @@
 	a := &assignment{
 		task: g.task.GetId(), attempt: g.task.GetAttempt() + 1, class: g.task.GetClass(),
 		reserved: c.need, checkpoint: g.task.GetCheckpoint(), calling: true, incarnation: w.Incarnation,
+		urgency: g.job.GetUrgency(),
 	}
 	if !o.record(placedRecord(&cellpb.Placed{Task: a.task, Attempt: a.attempt, Worker: w.Name, Reserved: toRecord(c.need)}),
 		func() { o.start(w, a, g) }) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -60,6 +60,7 @@
 	task       string
 	attempt    uint32
 	class      string
+	urgency    int32
 	reserved   driver.Resources
 	checkpoint string
 	// calling tells that a command for the attempt is on its way.
--- a/internal/load/file.go
+++ b/internal/load/file.go
@@ -43,6 +43,8 @@
 	RatePerSecond float64           `json:"rate-per-second"`
 	Service       document.Duration `json:"service-time"`
 	Bytes         int               `json:"bytes"`
+	// Timeout is that of the kind if it is 0.
+	Timeout document.Duration `json:"timeout"`
 }
 
 // Burst multiplies the arrivals for a while, in one data centre or, without a name, in all.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	grant         = 8 * time.Second
-	margin        = time.Second
-	silence       = 10 * time.Minute
-	heartbeat     = 500 * time.Millisecond
-	callerIdle    = 512
-	requestBound  = 90 * time.Second
-	jobTimeout    = 5 * time.Second
-	outstandingMx = 20_000
+	grant          = 8 * time.Second
+	margin         = time.Second
+	silence        = 10 * time.Minute
+	heartbeat      = 500 * time.Millisecond
+	callerIdle     = 512
+	requestBound   = 90 * time.Second
+	jobTimeout     = 5 * time.Second
+	outstandingMax = 4_000
 )
 
 // run is one run of a load file under one variant.
@@ -154,7 +154,7 @@
 
 // request sends one request and records what came of it.
 func (r *run) request(q Requests, index int, id string, due time.Time) {
-	if !r.record.enter(outstandingMx) {
+	if !r.record.enter(outstandingMax) {
 		r.record.add(q.Kind, "not-sent", due, time.Now(), r.began.Add(r.file.WarmUp.D()), false)
 		return
 	}
@@ -163,7 +163,7 @@
 	body := append([]byte(id), bytes.Repeat([]byte{'.'}, max(0, q.Bytes-len(id)))...)
 	entry := r.cluster.Entries()[index]
 	answer, err := client.New(client.Options{Address: entry.Callers, HTTP: r.http}).Do(context.Background(), client.Request{
-		Service: r.document.Services[0].Name, Kind: q.Kind, Body: body,
+		Service: r.document.Services[0].Name, Kind: q.Kind, Body: body, Timeout: q.Timeout.D(),
 	})
 	time.Sleep(r.file.System.CallerDelay.D())
 	now := time.Now()
