--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -29,6 +29,7 @@
 	testSilence = 20 * time.Second
 	testCell    = "test.0"
 	heartbeat   = 500 * time.Millisecond
+	lateness    = 9 * time.Second
 	settleTime  = 5 * time.Minute
 )
 
@@ -138,6 +139,9 @@
 	events []standin.Event
 	faults []string
 	drop   int
+	// late counts the starts that arrive late; wait is for those on their way.
+	late int
+	wait sync.WaitGroup
 	// durable holds the tasks whose finish an owner has made durable.
 	durable map[string]bool
 }
@@ -181,6 +185,20 @@
 }
 
 func (l link) Start(_ context.Context, name string, s *peerpb.StartTask) (*peerpb.TaskReply, error) {
+	l.w.mu.Lock()
+	late := l.w.late > 0
+	if late {
+		l.w.late--
+	}
+	l.w.mu.Unlock()
+	if late {
+		// The command sits in a socket and arrives when nobody waits for it any more.
+		l.w.wait.Go(func() {
+			time.Sleep(lateness)
+			_, _ = l.deliver(name, func(a *testAgent) *peerpb.TaskReply { return l.w.start(a, s) })
+		})
+		return nil, errLost
+	}
 	return l.deliver(name, func(a *testAgent) *peerpb.TaskReply { return l.w.start(a, s) })
 }
 
@@ -388,7 +406,7 @@
 	wait  time.Duration
 }
 
-var stepKinds = []string{"submit", "submit", "cut", "heal", "store-down", "store-up", "lose", "drop", "crash", "zombie", "owner", "owner", "drain", "cancel"}
+var stepKinds = []string{"submit", "submit", "cut", "heal", "store-down", "store-up", "lose", "drop", "late", "cut", "heal", "crash", "zombie", "owner", "owner", "drain", "cancel"}
 
 func drawSteps(t *rapid.T) []step {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
@@ -440,6 +458,7 @@
 	faults := w.settle(jobs)
 	stop()
 	wait.Wait()
+	w.wait.Wait()
 	for o := w.newest(); o != nil; o = w.newest() {
 		w.crash(o)
 	}
@@ -466,9 +485,13 @@
 			w.store.lose = 1 + s.which
 		}
 		w.store.mu.Unlock()
-	case "drop":
+	case "drop", "late":
 		w.mu.Lock()
-		w.drop = 1 + s.which
+		if s.kind == "drop" {
+			w.drop = 1 + s.which
+		} else {
+			w.late = 1 + s.which
+		}
 		w.mu.Unlock()
 	case "crash":
 		if o != nil {
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -411,11 +411,12 @@
 	if err != nil {
 		return "", err
 	}
+	s.accepted = int(next)
 	return fmt.Sprintf("from %d to %d\n", revision, next), nil
 }
 
-// cmdInForce waits until the newest revision is in force in every data centre: inforce
-// [within=] [revision=]
+// cmdInForce waits until the newest accepted revision is in force in every data centre: inforce
+// [within=]
 func cmdInForce(s *system, a arguments) (string, error) {
 	var text string
 	began := time.Now()
@@ -426,7 +427,7 @@
 				return err
 			}
 			text = fmt.Sprintf("revision=%d after %v %+v\n", status.Revision, time.Since(began).Round(time.Millisecond), status.DataCentres)
-			if status.Revision < uint64(a.number("revision", 1)) || len(status.DataCentres) != a.number("data-centres", len(s.document.DataCentres)) {
+			if status.Revision < uint64(s.accepted) || len(status.DataCentres) != a.number("data-centres", len(s.document.DataCentres)) {
 				return errors.New(name + " " + text)
 			}
 			for _, dc := range status.DataCentres {
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -48,6 +48,8 @@
 	senders   map[string]*sender
 	jobs      map[string]string
 	outcomes  []outcome
+	// accepted is the highest revision that an operator was told of.
+	accepted int
 }
 
 // options tell how large a system is and how it behaves.
