Keep sessions, pauses and conversions in one place each

The loop that keeps sessions stood in agent and entry, the pause in four packages, the conversion of resources in three, the set-up of logs twice. They are internal/redial, internal/loop, driver.Resources and one function now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,7 +93,7 @@
 	loopContext, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	go a.loop.Run(loopContext)
 	ends := []<-chan struct{}{
-		every(traffic, expireInterval, func() { a.loop.Post(a.expire) }),
+		loop.Every(traffic, expireInterval, func() { a.loop.Post(a.expire) }),
 		a.goSessions(traffic),
 	}
 	if a.options.Worker != nil {
@@ -174,22 +174,3 @@
 	close(a.control.changed)
 	a.control.changed = make(chan struct{})
 }
-
-// every calls f at an interval until ctx ends and then closes the returned channel.
-func every(ctx context.Context, interval time.Duration, f func()) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for {
-			select {
-			case <-t.C:
-				f()
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return done
-}
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/redial"
 )
 
 // Delays of the sessions to entries.
 const (
-	redialMin     = 100 * time.Millisecond
 	redialMax     = 5 * time.Second
-	dialRound     = 200 * time.Millisecond
 	silenceLimit  = 3 * time.Second
 	reportMinimum = 20 * time.Millisecond
 )
@@ -32,46 +31,7 @@
 // goSessions keeps a session to each entry until ctx ends, and then closes the returned
 // channel once all have ended.
 func (a *Agent) goSessions(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		var wait sync.WaitGroup
-		defer wait.Wait()
-		dialling := map[string]chan struct{}{}
-		for ctx.Err() == nil {
-			for _, address := range a.addresses() {
-				if running, ok := dialling[address]; ok && !closed(running) {
-					continue
-				}
-				end := make(chan struct{})
-				dialling[address] = end
-				wait.Go(func() {
-					defer close(end)
-					a.keepSession(ctx, address)
-				})
-			}
-			pause(ctx, dialRound)
-		}
-	}()
-	return done
-}
-
-func closed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	return redial.Keep(ctx, redial.Options{Addresses: a.addresses, Session: a.session, DelayMax: redialMax, Log: a.log})
 }
 
 // addresses lists the entries to dial: those of this data centre, and while there is no
@@ -98,44 +58,12 @@
 	return addresses
 }
 
-// keepSession dials an address, serves the session and waits before it may be dialled again.
-func (a *Agent) keepSession(ctx context.Context, address string) {
-	for delay := redialMin; ctx.Err() == nil; delay = min(2*delay, redialMax) {
-		began := time.Now()
-		err := a.session(ctx, address)
-		if ctx.Err() != nil {
-			return
-		}
-		a.log.Info("session ended", "address", address, "error", errorText(err))
-		pause(ctx, time.Duration(rand.Int64N(int64(delay)))+redialMin/2)
-		if time.Since(began) > silenceLimit || !a.wanted(address) {
-			return
-		}
-	}
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func (a *Agent) wanted(address string) bool {
-	for _, other := range a.addresses() {
-		if other == address {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *Agent) hello() *peerpb.Hello {
 	h := &peerpb.Hello{
 		Version: peer.Version, System: a.options.System, Id: a.options.ID, Role: peer.RoleAgent, Incarnation: a.incarnation,
 		DataCentre: a.options.DataCentre, Rack: a.options.Rack,
 	}
-	_ = a.loop.Do(func() { h.Capacity = toProto(a.control.ledger.Capacity()) })
+	_ = a.loop.Do(func() { h.Capacity = a.control.ledger.Capacity().Message() })
 	return h
 }
 
@@ -214,7 +142,7 @@
 		if err := control.Send(peer.ReportFrame(report)); err != nil {
 			return err
 		}
-		pause(ctx, reportMinimum)
+		loop.Pause(ctx, reportMinimum)
 		timer := time.NewTimer(a.options.Heartbeat)
 		select {
 		case <-timer.C:
--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
 
 // goPoll watches the worker until ctx ends and then closes the returned channel.
 func (a *Agent) goPoll(ctx context.Context) <-chan struct{} {
-	return every(ctx, a.options.Heartbeat/2, func() { a.poll(ctx) })
+	return loop.Every(ctx, a.options.Heartbeat/2, func() { a.poll(ctx) })
 }
 
 // poll reads the worker's status, stops what no grant covers and renews the worker's lease.
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -40,11 +40,11 @@
 	if a.options.Worker == nil || c.rebuilding {
 		return r
 	}
-	r.Capacity = toProto(c.ledger.Capacity())
+	r.Capacity = c.ledger.Capacity().Message()
 	if !l.owner && sequence > 1 {
 		return r
 	}
-	r.Free = toProto(c.ledger.Free())
+	r.Free = c.ledger.Free().Message()
 	for _, t := range c.attempts {
 		r.Tasks = append(r.Tasks, t.state())
 	}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -9,6 +9,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/fence"
 	"github.com/jasminebay/jasminebay/internal/gate"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
@@ -297,7 +298,7 @@
 // awaitRecord gives a request whose key has just been claimed the time to arrive, so that
 // a question that overtakes it need not cancel it.
 func (a *Agent) awaitRecord(ctx context.Context, id string) {
-	for began := time.Now(); time.Since(began) < lookupGrace && ctx.Err() == nil; pause(ctx, lookupPoll) {
+	for began := time.Now(); time.Since(began) < lookupGrace && ctx.Err() == nil; loop.Pause(ctx, lookupPoll) {
 		known := false
 		if a.loop.Do(func() { known = a.control.records.Find(id) != nil }) != nil || known {
 			return
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -44,18 +44,10 @@
 func (t *attempt) state() *peerpb.TaskState {
 	return &peerpb.TaskState{
 		Task: t.task, Attempt: t.number, Phase: t.phase, Checkpoint: t.checkpoint,
-		Detail: t.detail, Used: toProto(t.used), Exact: t.phase == peerpb.Phase_PHASE_STOPPED && t.exact,
+		Detail: t.detail, Used: t.used.Message(), Exact: t.phase == peerpb.Phase_PHASE_STOPPED && t.exact,
 	}
 }
 
-func toProto(r driver.Resources) *peerpb.Resources {
-	return &peerpb.Resources{MilliCpu: r.MilliCPU(), MemoryBytes: r.MemoryBytes(), Accelerators: r.Accelerators()}
-}
-
-func fromProto(r *peerpb.Resources) driver.Resources {
-	return driver.NewResources(r.GetMilliCpu(), r.GetMemoryBytes(), r.GetAccelerators())
-}
-
 // serveStart runs an attempt if the grant covers it and it fits.
 func (a *Agent) serveStart(ctx context.Context, stream *peer.Stream, s *peerpb.StartTask) {
 	defer stream.Close()
@@ -77,9 +69,9 @@
 	c := &a.control
 	key := attemptKey(s.GetTask(), s.GetAttempt())
 	if t := c.attempts[key]; t != nil {
-		return &peerpb.TaskReply{Accepted: true, State: t.state(), Free: toProto(c.ledger.Free())}, time.Time{}
+		return &peerpb.TaskReply{Accepted: true, State: t.state(), Free: c.ledger.Free().Message()}, time.Time{}
 	}
-	need := fromProto(s.GetResources())
+	need := driver.ResourcesOf(s.GetResources())
 	reason := a.startRefusal(s, key)
 	if reason == peerpb.Reason_REASON_UNSPECIFIED && !c.ledger.Reserve(key, need) {
 		reason = peerpb.Reason_REASON_FULL
@@ -88,7 +80,7 @@
 		// A refusal proves that the attempt never runs, so a copy of the command that is
 		// still on its way must be refused as well.
 		c.tombstones[key] = time.Now()
-		return &peerpb.TaskReply{Reason: reason, Free: toProto(c.ledger.Free())}, time.Time{}
+		return &peerpb.TaskReply{Reason: reason, Free: c.ledger.Free().Message()}, time.Time{}
 	}
 	c.attempts[key] = &attempt{
 		task: s.GetTask(), number: s.GetAttempt(), class: s.GetClass(), reserved: need,
@@ -121,7 +113,7 @@
 // start asks the worker to run the attempt until the answer is definite.
 func (a *Agent) start(ctx context.Context, s *peerpb.StartTask, until time.Time) *peerpb.TaskReply {
 	spec := driver.TaskSpec{
-		Task: s.GetTask(), Attempt: s.GetAttempt(), Class: s.GetClass(), Resources: fromProto(s.GetResources()),
+		Task: s.GetTask(), Attempt: s.GetAttempt(), Class: s.GetClass(), Resources: driver.ResourcesOf(s.GetResources()),
 		Checkpoint: s.GetCheckpoint(), Run: time.Duration(s.GetRunMillis()) * time.Millisecond,
 		LeaseUntil: until, Cell: s.GetCell(), Epoch: s.GetEpoch(),
 	}
@@ -149,7 +141,7 @@
 			t.confirmed = time.Now()
 			reply.State = t.state()
 		}
-		reply.Free = toProto(a.control.ledger.Free())
+		reply.Free = a.control.ledger.Free().Message()
 	})
 	return reply
 }
@@ -160,7 +152,7 @@
 		a.control.ledger.Release(key)
 		delete(a.control.attempts, key)
 		a.control.tombstones[key] = time.Now()
-		reply.Free = toProto(a.control.ledger.Free())
+		reply.Free = a.control.ledger.Free().Message()
 	})
 	return reply
 }
@@ -189,7 +181,7 @@
 		if t := a.control.attempts[key]; t != nil {
 			reply.State = t.state()
 		}
-		reply.Free = toProto(a.control.ledger.Free())
+		reply.Free = a.control.ledger.Free().Message()
 	})
 	_ = stream.Send(peer.TaskReplyFrame(reply))
 }
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
+	"github.com/jasminebay/jasminebay/internal/loop"
 )
 
 // batch is what one commit makes durable.
@@ -28,7 +29,7 @@
 			if err != nil {
 				return err
 			}
-			pause(ctx, interval)
+			loop.Pause(ctx, interval)
 		case <-verify.C:
 			if err := o.verify(ctx); err != nil {
 				return err
@@ -40,15 +41,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // gather returns how long to gather the next batch: about as long as a commit took, so that
 // a slow service gets fewer and larger writes, and longer the more cells share its rate.
 func (o *Owner) gather(took time.Duration) time.Duration {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -291,19 +291,15 @@
 			free = free.Plus(w.free())
 			largest = largest.Max(w.capacity)
 		}
-		load.Free, load.Largest = toProto(free), toProto(largest)
+		load.Free, load.Largest = free.Message(), largest.Message()
 		load.Waiting = int32(o.c.queue.size)
 		for team, r := range o.c.use {
-			load.Teams = append(load.Teams, &peerpb.TeamUse{Team: team, Reserved: toProto(r)})
+			load.Teams = append(load.Teams, &peerpb.TeamUse{Team: team, Reserved: r.Message()})
 		}
 	})
 	return load
 }
 
-func toProto(r driver.Resources) *peerpb.Resources {
-	return &peerpb.Resources{MilliCpu: r.MilliCPU(), MemoryBytes: r.MemoryBytes(), Accelerators: r.Accelerators()}
-}
-
 func toRecord(r driver.Resources) *cellpb.Resources {
 	return &cellpb.Resources{MilliCpu: r.MilliCPU(), MemoryBytes: r.MemoryBytes(), Accelerators: r.Accelerators()}
 }
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -17,6 +17,7 @@
 	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/driver/place"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	standin "github.com/jasminebay/jasminebay/internal/standin/worker"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
@@ -235,7 +236,7 @@
 	free := a.capacity
 	for _, t := range a.attempts {
 		if t.state.GetPhase() == peerpb.Phase_PHASE_RUNNING {
-			free = free.Minus(fromProto(t.state.GetUsed()))
+			free = free.Minus(driver.ResourcesOf(t.state.GetUsed()))
 		}
 	}
 	reason := peerpb.Reason_REASON_UNSPECIFIED
@@ -244,7 +245,7 @@
 		reason = peerpb.Reason_REASON_STALE_EPOCH
 	case a.tombstones[key]:
 		reason = peerpb.Reason_REASON_CANCELLED
-	case !fromProto(s.GetResources()).Fits(free):
+	case !driver.ResourcesOf(s.GetResources()).Fits(free):
 		reason = peerpb.Reason_REASON_FULL
 		w.faults = append(w.faults, a.name+" was offered more than it holds")
 	}
@@ -292,7 +293,7 @@
 	w.mu.Lock()
 	w.advance(a)
 	owners := slices.Clone(w.owners)
-	r := &peerpb.Report{Cell: testCell, Epoch: a.epoch, Term: a.term, Draining: a.drain, Capacity: toProto(a.capacity), Free: toProto(a.capacity)}
+	r := &peerpb.Report{Cell: testCell, Epoch: a.epoch, Term: a.term, Draining: a.drain, Capacity: a.capacity.Message(), Free: a.capacity.Message()}
 	for _, t := range a.attempts {
 		r.Tasks = append(r.Tasks, &peerpb.TaskState{Task: t.state.GetTask(), Attempt: t.state.GetAttempt(), Phase: t.state.GetPhase(), Checkpoint: t.state.GetCheckpoint(), Exact: t.state.GetExact(), Used: t.state.GetUsed()})
 	}
@@ -445,7 +446,7 @@
 		wait.Go(func() {
 			for ctx.Err() == nil {
 				w.report(a)
-				pause(ctx, heartbeat)
+				loop.Pause(ctx, heartbeat)
 			}
 		})
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -287,7 +287,7 @@
 	}
 	command := &peerpb.StartTask{
 		Cell: o.options.Cell, Epoch: o.epoch, Term: w.term, Task: a.task, Attempt: a.attempt,
-		Resources: toProto(a.reserved), Checkpoint: a.checkpoint, Class: a.class,
+		Resources: a.reserved.Message(), Checkpoint: a.checkpoint, Class: a.class,
 		RunMillis: g.task.GetRunMillis(), Idempotent: g.task.GetIdempotent(),
 	}
 	name := w.Name
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -131,7 +131,7 @@
 	w.draining, w.rebuilding = r.GetDraining(), r.GetRebuilding()
 	w.serves = len(r.GetUpstreams()) > 0
 	if r.GetCapacity() != nil {
-		w.capacity = fromProto(r.GetCapacity())
+		w.capacity = driver.ResourcesOf(r.GetCapacity())
 	}
 	if r.GetFree() != nil && !w.rebuilding {
 		o.reconcile(w, r.GetTasks(), now)
@@ -162,10 +162,6 @@
 	return u
 }
 
-func fromProto(r *peerpb.Resources) driver.Resources {
-	return driver.NewResources(r.GetMilliCpu(), r.GetMemoryBytes(), r.GetAccelerators())
-}
-
 // reconcile compares what the agent holds with what this owner has placed there.
 func (o *Owner) reconcile(w *worker, tasks []*peerpb.TaskState, now time.Time) {
 	listed := map[string]bool{}
@@ -203,7 +199,7 @@
 		return
 	}
 	a.confirmed = true
-	a.used = fromProto(t.GetUsed())
+	a.used = driver.ResourcesOf(t.GetUsed())
 	if t.GetCheckpoint() != "" {
 		a.checkpoint = t.GetCheckpoint()
 	}
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -32,14 +33,20 @@
 	if l, err = listen(&c.Entry); err != nil {
 		return err
 	}
+	log, flush := logger(c.Level())
+	defer flush()
+	return app.NewEntry(&c.Entry, log).Run(c.ctx, l)
+}
+
+// logger returns a logger to standard error and a function that writes out what is buffered.
+func logger(level slog.Level) (*slog.Logger, func()) {
 	out := telemetry.NewLogWriter(os.Stderr)
 	ctx, stop := context.WithCancel(context.Background())
 	flushed := out.Run(ctx)
-	defer func() {
+	return telemetry.NewLogger(out, level), func() {
 		stop()
 		<-flushed
-	}()
-	return app.NewEntry(&c.Entry, telemetry.NewLogger(out, c.Level())).Run(c.ctx, l)
+	}
 }
 
 func listen(s *settings.Entry) (l entry.Listeners, err error) {
@@ -71,14 +78,9 @@
 	if err != nil {
 		return fmt.Errorf("--listen: %w", err)
 	}
-	out := telemetry.NewLogWriter(os.Stderr)
-	ctx, stop := context.WithCancel(context.Background())
-	flushed := out.Run(ctx)
-	defer func() {
-		stop()
-		<-flushed
-	}()
-	a := app.NewAgent(&c.Agent, telemetry.NewLogger(out, c.Level()))
+	log, flush := logger(c.Level())
+	defer flush()
+	a := app.NewAgent(&c.Agent, log)
 	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
 	served := make(chan struct{})
 	go func() {
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -11,6 +11,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
@@ -113,7 +114,7 @@
 			// The write may still be on its way.
 			reason = "the write may still take effect"
 		}
-		pause(ctx, readBackDelay)
+		loop.Pause(ctx, readBackDelay)
 	}
 	return 0, &InDoubtError{Reason: reason}
 }
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
@@ -46,7 +47,7 @@
 		w.Metrics.StoreErrors.WithLabelValues("watch").Inc()
 		w.Log.Warn("configuration is not followed", "error", err.Error(), "in-force", w.Holder.Current().Revision())
 		after = 0
-		pause(ctx, delay/2+rand.N(delay/2))
+		loop.Pause(ctx, delay/2+rand.N(delay/2))
 		delay = min(2*delay, watchRetryMax)
 	}
 }
@@ -88,12 +89,3 @@
 	}
 	w.Metrics.Revision.Set(float64(w.Holder.Current().Revision()))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/driver/resources.go
+++ b/internal/driver/resources.go
@@ -1,6 +1,10 @@
 package driver
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
 
 // Resources is an amount of each thing that a worker holds.
 type Resources struct {
@@ -47,3 +51,13 @@
 func (r Resources) String() string {
 	return fmt.Sprintf("cpu=%dm memory=%d accelerators=%d", r.milliCPU, r.memory, r.accelerators)
 }
+
+// ResourcesOf returns the amounts of a message; nil gives none.
+func ResourcesOf(r *peerpb.Resources) Resources {
+	return Resources{r.GetMilliCpu(), r.GetMemoryBytes(), r.GetAccelerators()}
+}
+
+// Message returns the amounts as they travel between processes.
+func (r Resources) Message() *peerpb.Resources {
+	return &peerpb.Resources{MilliCpu: r.milliCPU, MemoryBytes: r.memory, Accelerators: r.accelerators}
+}
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/cell"
 	"github.com/jasminebay/jasminebay/internal/config"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	"github.com/jasminebay/jasminebay/internal/route"
@@ -43,7 +44,7 @@
 // goAccept serves sessions of agents and peers until ctx ends.
 func (e *Entry) goAccept(ctx context.Context, l net.Listener) <-chan struct{} {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	return goRun(ctx, func(ctx context.Context) {
+	return loop.Go(ctx, func(ctx context.Context) {
 		defer stop()
 		for {
 			conn, err := l.Accept()
@@ -51,7 +52,7 @@
 				return
 			}
 			if err != nil {
-				pause(ctx, drainPoll)
+				loop.Pause(ctx, drainPoll)
 				continue
 			}
 			e.sessions.Go(func() { e.accept(ctx, conn) })
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/cell"
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
@@ -102,7 +103,7 @@
 			}
 		}
 		c.yield()
-		pause(ctx, considerInterval)
+		loop.Pause(ctx, considerInterval)
 	}
 }
 
@@ -330,7 +331,7 @@
 	c.others(but, func(l *peerpb.CellLoad) {
 		for _, t := range l.GetTeams() {
 			if t.GetTeam() == team {
-				sum = sum.Plus(fromProto(t.GetReserved()))
+				sum = sum.Plus(driver.ResourcesOf(t.GetReserved()))
 			}
 		}
 	})
@@ -338,14 +339,10 @@
 }
 
 func (c *cells) largestElsewhere(but string) (largest driver.Resources) {
-	c.others(but, func(l *peerpb.CellLoad) { largest = largest.Max(fromProto(l.GetLargest())) })
+	c.others(but, func(l *peerpb.CellLoad) { largest = largest.Max(driver.ResourcesOf(l.GetLargest())) })
 	return largest
 }
 
-func fromProto(r *peerpb.Resources) driver.Resources {
-	return driver.NewResources(r.GetMilliCpu(), r.GetMemoryBytes(), r.GetAccelerators())
-}
-
 // Start implements driver.Agents.
 func (e *Entry) Start(ctx context.Context, worker string, s *peerpb.StartTask) (*peerpb.TaskReply, error) {
 	return e.command(ctx, worker, peer.StartFrame(s))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,10 +105,10 @@
 	ends := []<-chan struct{}{
 		goServe(callers, l.Callers), goServe(operators, l.Operators),
 		e.goAccept(work, l.Peers), e.goDial(work), e.goRegister(work),
-		goRun(work, e.options.Watcher.Run), goRun(work, e.tick),
+		loop.Go(work, e.options.Watcher.Run), loop.Go(work, e.tick),
 	}
 	cellsContext, stopCells := context.WithCancel(work)
-	cellsEnd := goRun(cellsContext, e.cells.run)
+	cellsEnd := loop.Go(cellsContext, e.cells.run)
 	e.log.Info("entry started", "incarnation", e.incarnation, "callers", l.Callers.Addr().String(),
 		"operators", l.Operators.Addr().String(), "peers", l.Peers.Addr().String())
 	<-ctx.Done()
@@ -159,15 +159,6 @@
 	}
 }
 
-func goRun(ctx context.Context, f func(context.Context)) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f(ctx)
-	}()
-	return done
-}
-
 func goServe(s *http.Server, l net.Listener) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -176,12 +167,3 @@
 	}()
 	return done
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -204,7 +204,7 @@
 	best, bestScore := "", int64(0)
 	e.cells.others("", func(l *peerpb.CellLoad) {
 		score := l.GetFree().GetMilliCpu() - int64(l.GetWaiting())
-		if need.Fits(fromProto(l.GetLargest())) {
+		if need.Fits(driver.ResourcesOf(l.GetLargest())) {
 			score += 1 << 50
 		}
 		if l.GetFree().GetMilliCpu() >= need.MilliCPU() && dataCentreOf(l.GetCell()) == e.options.DataCentre {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/redial"
 	"github.com/jasminebay/jasminebay/internal/route"
 )
 
 // Delays of the sessions between entries.
 const (
-	dialRound      = 500 * time.Millisecond
-	redialMin      = 100 * time.Millisecond
 	redialMax      = 3 * time.Second
 	gossipInterval = 500 * time.Millisecond
 	// entriesEvery is how seldom a peer is told the list of entries, which the key-value
@@ -35,25 +34,7 @@
 
 // goDial keeps a session to each other entry until ctx ends.
 func (e *Entry) goDial(ctx context.Context) <-chan struct{} {
-	return goRun(ctx, func(ctx context.Context) {
-		var wait sync.WaitGroup
-		defer wait.Wait()
-		dialling := map[string]chan struct{}{}
-		for ctx.Err() == nil {
-			for _, address := range e.peerAddresses() {
-				if end := dialling[address]; end != nil && !closed(end) {
-					continue
-				}
-				end := make(chan struct{})
-				dialling[address] = end
-				wait.Go(func() {
-					defer close(end)
-					e.keepPeer(ctx, address)
-				})
-			}
-			pause(ctx, dialRound)
-		}
-	})
+	return redial.Keep(ctx, redial.Options{Addresses: e.peerAddresses, Session: e.dialPeer, DelayMax: redialMax, Log: e.log})
 }
 
 func closed(c <-chan struct{}) bool {
@@ -83,30 +64,6 @@
 	return addresses
 }
 
-func (e *Entry) keepPeer(ctx context.Context, address string) {
-	for delay := redialMin; ctx.Err() == nil; delay = min(2*delay, redialMax) {
-		began := time.Now()
-		err := e.dialPeer(ctx, address)
-		if ctx.Err() != nil {
-			return
-		}
-		e.log.Debug("peer session ended", "address", address, "error", errorText(err))
-		pause(ctx, redialMin/2+rand.N(delay))
-		if time.Since(began) > silenceLimit || !e.wantsPeer(address) {
-			return
-		}
-	}
-}
-
-func (e *Entry) wantsPeer(address string) bool {
-	for _, other := range e.peerAddresses() {
-		if other == address {
-			return true
-		}
-	}
-	return false
-}
-
 func (e *Entry) hello() *peerpb.Hello {
 	return &peerpb.Hello{
 		Version: peer.Version, System: e.options.System, Id: e.options.ID, Role: peer.RoleEntry, Incarnation: e.incarnation,
@@ -238,7 +195,7 @@
 }
 
 func (e *Entry) goPeerStreams(ctx context.Context, s *peer.Session) <-chan struct{} {
-	return goRun(ctx, func(ctx context.Context) {
+	return loop.Go(ctx, func(ctx context.Context) {
 		var wait sync.WaitGroup
 		defer wait.Wait()
 		for {
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
 
@@ -30,7 +31,7 @@
 
 // goRegister keeps this entry's registration and the list of the others until ctx ends.
 func (e *Entry) goRegister(ctx context.Context) <-chan struct{} {
-	return goRun(ctx, func(ctx context.Context) {
+	return loop.Go(ctx, func(ctx context.Context) {
 		var lease driver.Lease
 		for ctx.Err() == nil {
 			var err error
@@ -43,7 +44,7 @@
 				e.options.Metrics.StoreErrors.WithLabelValues("register").Inc()
 				e.log.Warn("registration failed", "error", err.Error())
 			}
-			pause(ctx, registrationRenew)
+			loop.Pause(ctx, registrationRenew)
 		}
 		e.deregister(context.WithoutCancel(ctx))
 	})
