Send small answers in one packet and reuse buffers

A routed request allocated 104 KB and an entry served 3783 requests a second to 8 callers, 4916 to 32. Cause: a 32 KB buffer for each answer, three frames in six writes for a small one, and a call of the control loop too many. Ruled out: logging (2% of the profile) and HTTP routing (3%).

61 KB, 7557 and 8455 requests a second now. At one caller the p50 stays at 0.65 ms against 0.10 ms direct: 0.55 ms is added, where 0.3 ms is the goal; the hops between goroutines and the three connections in turn make it, not work.

A log of each process is judged now for revisions that go back.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
@@ -173,46 +174,69 @@
 	a.forward(r, answer, began)
 }
 
-// forward streams the upstream's answer; only a whole answer ends with complete.
+// buffers holds buffers of peer.ChunkBytes for answers.
+var buffers = sync.Pool{New: func() any { b := make([]byte, peer.ChunkBytes); return &b }}
+
+// forward passes the upstream's answer on, a small one in one write; only a whole answer
+// ends with complete.
 func (a *Agent) forward(r *request, answer driver.Answer, began time.Time) {
 	head := &peerpb.ResponseHead{Status: int32(answer.Status), Upstream: a.options.ID}
 	for _, h := range answer.Headers {
 		head.Headers = append(head.Headers, &peerpb.Header{Name: h[0], Value: h[1]})
 	}
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
 	kept := &fence.Answer{Head: head}
-	sendErr := r.stream.Send(peer.ResponseFrame(head))
-	buffer := make([]byte, peer.ChunkBytes)
+	frames := []*peerpb.Frame{peer.ResponseFrame(head)}
+	var sendErr error
 	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 && sendErr == nil {
-			sendErr = r.stream.Send(peer.ChunkFrame(buffer[:n]))
+		n, err := fill(answer.Body, *buffer)
+		part := (*buffer)[:n]
+		if r.head.GetKeyed() && len(kept.Body) <= fence.AnswerMaxBytes {
+			kept.Body = append(kept.Body, part...)
 		}
-		if len(kept.Body) <= fence.AnswerMaxBytes {
-			kept.Body = append(kept.Body, buffer[:n]...)
+		if n > 0 {
+			frames = append(frames, peer.ChunkFrame(part))
 		}
-		switch {
-		case err == nil:
-			continue
-		case errors.Is(err, io.EOF):
-			a.finish(r, kept, began)
-			if sendErr == nil {
-				_ = r.stream.Send(peer.EndFrame(&peerpb.End{Complete: true, Outcome: peerpb.Outcome_OUTCOME_ANSWERED, State: a.state(r)}))
-			}
-		default:
-			a.abandon(r)
-			_ = r.stream.Send(peer.EndFrame(&peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, State: a.state(r), Detail: "the upstream's answer broke off"}))
+		if err != nil {
+			frames = append(frames, peer.EndFrame(a.endOf(r, err, kept, began)))
 		}
-		return
+		if sendErr == nil {
+			sendErr = r.stream.Send(frames...)
+		}
+		if err != nil {
+			return
+		}
+		frames = frames[:0]
 	}
 }
 
-func (a *Agent) finish(r *request, kept *fence.Answer, began time.Time) {
+// fill reads until the buffer is full or the body ends; its error tells a whole body,
+// io.EOF, from one that broke off.
+func fill(body io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var m int
+		m, err = body.Read(buffer[n:])
+		n += m
+	}
+	return n, err
+}
+
+// endOf records how the upstream's answer ended and returns what the entry is told.
+func (a *Agent) endOf(r *request, err error, kept *fence.Answer, began time.Time) *peerpb.End {
+	if !errors.Is(err, io.EOF) {
+		a.abandon(r)
+		return &peerpb.End{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, State: a.state(r), Detail: "the upstream's answer broke off"}
+	}
+	end := &peerpb.End{Complete: true, Outcome: peerpb.Outcome_OUTCOME_ANSWERED}
 	_ = a.loop.Do(func() {
 		now := time.Now()
 		a.control.records.Finish(now, r.head.GetId(), fence.StateAnswered, kept)
 		r.upstream.gate.Release(now, r.head.GetId())
 		r.upstream.window.add(now, r.head.GetKind(), now.Sub(began))
+		end.State = upstreamState(now, r.upstream, a.control.draining)
 	})
+	return end
 }
 
 func (a *Agent) abandon(r *request) {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(&joined{Conn: conn}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, nil, err
@@ -106,7 +106,7 @@
 // Hello. The caller answers on the control stream by Welcome.
 func Accept(conn net.Conn, system string) (s *Session, control *Stream, hello *peerpb.Hello, err error) {
 	defer errs.Annotate(&err, "peer: accept")
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(&joined{Conn: conn}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, nil, err
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -23,7 +23,7 @@
 	BodyMaxBytes = 16 << 20
 )
 
-const readBufferBytes = 4 << 10
+const bufferBytes = 2 << 10
 
 // ErrProtocol tells that the other side sent a frame that has no place there.
 var ErrProtocol = errors.New("peer: unexpected frame")
@@ -38,8 +38,8 @@
 func newStream(conn net.Conn) *Stream {
 	return &Stream{
 		conn:   conn,
-		reader: bufio.NewReaderSize(conn, readBufferBytes),
-		writer: bufio.NewWriterSize(conn, readBufferBytes),
+		reader: bufio.NewReaderSize(conn, bufferBytes),
+		writer: bufio.NewWriterSize(conn, bufferBytes),
 	}
 }
 
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -163,7 +163,7 @@
 	return n.summary(), nil
 }
 
-// cmdJudge checks the stand-ins' records: judge requests|tasks
+// cmdJudge checks the stand-ins' records and the entries' logs: judge requests|tasks|configuration
 func cmdJudge(s *system, a arguments) (string, error) {
 	var faults []string
 	switch a.word(0) {
@@ -171,6 +171,8 @@
 		faults = s.judgeRequests()
 	case "tasks":
 		faults = s.judgeTasks()
+	case "configuration":
+		faults = s.judgeConfiguration()
 	default:
 		return "", fmt.Errorf("judge what? %q", a.word(0))
 	}
@@ -180,6 +182,34 @@
 	return "", nil
 }
 
+var inForceLine = regexp.MustCompile(`"msg":"entry started"|"msg":"configuration in force".*"revision":([0-9]+)`)
+
+// judgeConfiguration reads from the logs whether a process ever went back to a lower revision.
+func (s *system) judgeConfiguration() (faults []string) {
+	for name, p := range s.processes {
+		if p.callers == "" {
+			continue
+		}
+		text, err := s.tail(name)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		highest := 0
+		for _, match := range inForceLine.FindAllStringSubmatch(text, -1) {
+			if match[1] == "" {
+				highest = 0
+				continue
+			}
+			revision, _ := strconv.Atoi(match[1])
+			if revision < highest {
+				faults = append(faults, fmt.Sprintf("%s went from revision %d back to %d", name, highest, revision))
+			}
+			highest = revision
+		}
+	}
+	return faults
+}
+
 func (s *system) events() (events []worker.Event) {
 	for _, m := range s.machines {
 		events = append(events, m.worker.Events()...)
@@ -276,10 +306,11 @@
 	return "", nil
 }
 
-// cmdFault sets a stand-in's faults: fault store|upstream:NAME|worker:NAME JSON
+// cmdFault sets a stand-in's faults: fault store|upstream:NAME|worker:NAME JSON, where FIRST
+// stands for the revision of the first document
 func cmdFault(s *system, a arguments) (string, error) {
 	kind, name, _ := strings.Cut(a.word(0), ":")
-	data := []byte(a.word(1))
+	data := []byte(strings.ReplaceAll(a.word(1), "FIRST", strconv.FormatUint(s.first, 10)))
 	switch kind {
 	case "store":
 		var f kv.Faults
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -48,6 +48,8 @@
 	senders   map[string]*sender
 	jobs      map[string]string
 	outcomes  []outcome
+	// first is the revision of the first document.
+	first uint64
 	// accepted is the highest revision that an operator was told of.
 	accepted int
 }
@@ -185,7 +187,8 @@
 
 func (s *system) firstDocument() error {
 	return until(func() error {
-		_, err := s.operator(s.order[0]).Apply(context.Background(), s.document.Environment, 0, s.raw)
+		revision, err := s.operator(s.order[0]).Apply(context.Background(), s.document.Environment, 0, s.raw)
+		s.first = revision
 		return err
 	})
 }
