Test the agent's commands and starts that arrive after their worker was lost

The term of a lost worker and the agent's check of its grant could be turned off without a test failing.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	client "github.com/jasminebay/jasminebay/internal/driver/upstream"
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
+)
+
+// memoryWorker is a worker whose attempts run until they are stopped.
+type memoryWorker struct {
+	mu    sync.Mutex
+	tasks map[string]driver.TaskStatus
+}
+
+func (w *memoryWorker) Status(context.Context) (driver.WorkerStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := driver.WorkerStatus{Capacity: driver.NewResources(4000, 1<<30, 1)}
+	for _, t := range w.tasks {
+		s.Tasks = append(s.Tasks, t)
+	}
+	return s, nil
+}
+
+func (w *memoryWorker) Run(_ context.Context, s driver.TaskSpec) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tasks[attemptKey(s.Task, s.Attempt)] = driver.TaskStatus{
+		Task: s.Task, Attempt: s.Attempt, Phase: driver.TaskPhaseRunning, Reserved: s.Resources, LeaseUntil: s.LeaseUntil, Cell: s.Cell, Epoch: s.Epoch,
+	}
+	return nil
+}
+
+func (w *memoryWorker) Stop(_ context.Context, task string, attempt uint32) (driver.TaskStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, ok := w.tasks[attemptKey(task, attempt)]
+	if !ok {
+		return driver.TaskStatus{}, driver.ErrNotFound
+	}
+	t.Phase = driver.TaskPhaseStopped
+	w.tasks[attemptKey(task, attempt)] = t
+	return t, nil
+}
+
+func (w *memoryWorker) Checkpoint(context.Context, string, uint32) (string, error) {
+	return "saved", nil
+}
+func (w *memoryWorker) Renew(context.Context, time.Time) error                  { return nil }
+func (w *memoryWorker) Remove(context.Context, string, uint32) error            { return nil }
+func (w *memoryWorker) Throttle(context.Context, string, uint32, float64) error { return nil }
+
+// owner plays the entry that owns the worker's cell.
+type owner struct {
+	mu      sync.Mutex
+	update  *peerpb.Update
+	session *peer.Session
+	known   chan struct{}
+}
+
+func (o *owner) serve(l net.Listener) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	s, control, _, err := peer.Accept(conn, "test")
+	if err != nil {
+		return
+	}
+	o.session = s
+	close(o.known)
+	_ = control.SendWelcome(&peerpb.Welcome{Id: "entry", DataCentre: "dc"})
+	for {
+		f, err := control.Receive()
+		if err != nil {
+			return
+		}
+		o.mu.Lock()
+		u := &peerpb.Update{Sequence: f.GetReport().GetSequence(), Cell: o.update.GetCell(), Epoch: o.update.GetEpoch(), Term: o.update.GetTerm(), GrantMillis: o.update.GetGrantMillis()}
+		o.mu.Unlock()
+		if control.Send(peer.UpdateFrame(u)) != nil {
+			return
+		}
+	}
+}
+
+// TestCommands runs the scripts in testdata: an owner grants, starts and stops attempts,
+// and the agent's answers are printed.
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		o := &owner{update: &peerpb.Update{}, known: make(chan struct{})}
+		go o.serve(l)
+		a := New(Options{
+			ID: "worker", System: "test", DataCentre: "dc", Entries: []string{l.Addr().String()}, Heartbeat: 40 * time.Millisecond,
+			Worker: &memoryWorker{tasks: map[string]driver.TaskStatus{}}, Upstream: client.New(), Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = a.Run(ctx)
+		}()
+		defer func() {
+			stop()
+			<-ended
+		}()
+		<-o.known
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return o.command(t, d) })
+	})
+}
+
+func (o *owner) command(t *testing.T, d *datadriven.TestData) string {
+	var epoch, term, attempt, grant int
+	var task string
+	cpu := 1000
+	for name, target := range map[string]*int{"epoch": &epoch, "term": &term, "attempt": &attempt, "grant": &grant, "cpu": &cpu} {
+		if d.HasArg(name) {
+			d.ScanArgs(t, name, target)
+		}
+	}
+	if d.HasArg("task") {
+		d.ScanArgs(t, "task", &task)
+	}
+	switch d.Cmd {
+	case "grant":
+		o.mu.Lock()
+		o.update = &peerpb.Update{Cell: "dc.0", Epoch: uint64(epoch), Term: uint64(term), GrantMillis: int64(grant)}
+		o.mu.Unlock()
+		// Several heartbeats carry the grant, and a short one ends.
+		time.Sleep(400 * time.Millisecond)
+		return ""
+	case "start":
+		return o.call(t, peer.StartFrame(&peerpb.StartTask{
+			Cell: "dc.0", Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt),
+			Resources: driver.NewResources(int64(cpu), 1, 0).Message(),
+		}))
+	case "stop":
+		return o.call(t, peer.StopFrame(&peerpb.StopTask{
+			Cell: "dc.0", Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt), Checkpoint: d.HasArg("checkpoint"),
+		}))
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func (o *owner) call(t *testing.T, frame *peerpb.Frame) string {
+	f, err := o.session.Call(t.Context(), frame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := f.GetTaskReply()
+	text := "refused"
+	if r.GetAccepted() {
+		text = "accepted"
+	}
+	if reason := strings.ToLower(strings.TrimPrefix(r.GetReason().String(), "REASON_")); reason != "unspecified" {
+		text += " " + reason
+	}
+	if s := r.GetState(); s != nil {
+		text += " " + strings.ToLower(strings.TrimPrefix(s.GetPhase().String(), "PHASE_")) + " " + s.GetCheckpoint()
+	}
+	return strings.TrimSpace(text) + "\n"
+}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -603,3 +603,22 @@
 	}
 	return faults
 }
+
+// TestLateStartIsRefused delays the starts of a job until its worker has been counted as
+// lost, has come back, and the task runs elsewhere.
+func TestLateStartIsRefused(t *testing.T) {
+	for which := range 3 {
+		steps := []step{
+			{kind: "late", which: 2, wait: heartbeat},
+			{kind: "owner", wait: time.Second}, // which makes the index of the next job even, and so idempotent
+			{kind: "submit", wait: 200 * time.Millisecond},
+			{kind: "cut", which: which, wait: testGrant + testMargin + 2*time.Second},
+			{kind: "heal", wait: lateness},
+		}
+		var faults []string
+		synctest.Test(t, func(*testing.T) { faults = play(steps) })
+		if len(faults) > 0 {
+			t.Errorf("worker %d: %s", which, strings.Join(faults, "\n"))
+		}
+	}
+}
