Let a second agent of a worker not stop what runs under the other's grant

In a plain 'local' run one render in four ended in doubt. Cause: agents that a test run had left behind when it panicked still polled ports that the new workers had been given; such an agent reads the lease off the worker, takes it for its own grant, sets the worker's lease back to it and stops the attempts when it ends. Ruled out: the owner (no eviction logged, the stop came on a beat of 250 ms of somebody's poll) and the stand-in.

An agent now renews the worker's lease only under a grant of an owner that it has heard itself, and leaves alone what another one's newer lease covers. Processes under test end with the test that started them.

--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -28,7 +28,10 @@
 	_ = a.loop.Do(func() {
 		a.observe(began, status)
 		due = a.overdue(time.Now())
-		until = a.control.grant.until
+		// A grant that was only read off the worker's lease is not this agent's to renew.
+		if a.control.grant.span > 0 {
+			until = a.control.grant.until
+		}
 	})
 	for _, t := range due {
 		a.log.Warn("grant was not renewed; stopping the task", "task", t.GetTask(), "attempt", t.GetAttempt())
@@ -82,7 +85,7 @@
 	if t.confirmed.IsZero() {
 		t.confirmed = time.Now()
 	}
-	t.used = s.Used
+	t.used, t.leaseUntil = s.Used, s.LeaseUntil
 	if s.Checkpoint != "" {
 		t.checkpoint = s.Checkpoint
 	}
@@ -113,11 +116,15 @@
 // overdue lists the attempts that must be stopped because the grant is about to end; it
 // runs on the loop.
 func (a *Agent) overdue(now time.Time) (due []*peerpb.TaskKey) {
-	if now.Before(a.control.grant.stopAt()) {
+	g := a.control.grant
+	if now.Before(g.stopAt()) {
 		return nil
 	}
 	for _, t := range a.control.attempts {
-		if t.phase == peerpb.Phase_PHASE_RUNNING && !t.confirmed.IsZero() {
+		// A lease past this agent's grant was set by another agent of the same worker, who
+		// holds a newer grant.
+		covered := t.leaseUntil.After(g.until) && now.Before(t.leaseUntil)
+		if t.phase == peerpb.Phase_PHASE_RUNNING && !t.confirmed.IsZero() && !covered {
 			due = append(due, &peerpb.TaskKey{Task: t.task, Attempt: t.number})
 		}
 	}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -33,6 +33,8 @@
 	confirmed time.Time
 	stopping  bool
 	throttled bool
+	// leaseUntil is when the worker stops the attempt by itself.
+	leaseUntil time.Time
 	// exact tells that the attempt is being stopped, or was, right at its checkpoint.
 	exact bool
 }
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -253,6 +253,23 @@
 	return "", nil
 }
 
+// cmdTwin starts a second agent for a worker, which reaches no entry: twin NAME
+func cmdTwin(s *system, a arguments) (string, error) {
+	listen, err := freePort()
+	if err != nil {
+		return "", err
+	}
+	nobody, err := freePort()
+	if err != nil {
+		return "", err
+	}
+	m := s.machines[a.word(0)]
+	return "", s.launch(&process{name: a.word(0) + "-twin", operators: "http://" + listen, arguments: []string{
+		"agent", "--id", a.word(0) + "-twin", "--data-centre", m.dataCentre, "--listen", listen,
+		"--worker", m.workerURL, "--entry", nobody, "--heartbeat", "500ms",
+	}})
+}
+
 // cmdStart starts processes again: start NAME…
 func cmdStart(s *system, a arguments) (string, error) {
 	for _, name := range a.words {
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -53,7 +53,7 @@
 		Setup:               setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"system": command(cmdSystem), "send": command(cmdSend), "finish": command(cmdFinish),
-			"judge": command(cmdJudge), "signal": command(cmdSignal), "start": command(cmdStart),
+			"judge": command(cmdJudge), "signal": command(cmdSignal), "start": command(cmdStart), "twin": command(cmdTwin),
 			"link": command(cmdLink), "fault": command(cmdFault), "submit": command(cmdSubmit),
 			"await": command(cmdAwait), "job": command(cmdJob), "apply": command(cmdApply),
 			"inforce": command(cmdInForce), "sleep": command(cmdSleep), "ready": command(cmdReady),
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -301,6 +301,8 @@
 	defer func() { _ = out.Close() }()
 	p.command = exec.Command(binary, p.arguments...)
 	p.command.Stderr = out
+	// A test that is killed or panics takes its processes with it.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		return err
 	}
