Judge data races and crashes in the logs of processes under test

Under the race detector the processes are built with it too, but a report of theirs went to a log that nobody read.

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -176,12 +176,32 @@
 	default:
 		return "", fmt.Errorf("judge what? %q", a.word(0))
 	}
+	faults = append(faults, s.judgeLogs()...)
 	if len(faults) > 0 {
 		return "", errors.New(strings.Join(faults, "\n"))
 	}
 	return "", nil
 }
 
+// judgeLogs finds data races and crashes that processes have written of.
+func (s *system) judgeLogs() (faults []string) {
+	for name := range s.processes {
+		text, err := s.tail(name)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		for _, sign := range []string{"WARNING: DATA RACE", "panic: ", "fatal error: "} {
+			if i := strings.Index(text, sign); i >= 0 {
+				faults = append(faults, name+": "+text[i:min(len(text), i+crashBytes)])
+			}
+		}
+	}
+	return faults
+}
+
+// crashBytes is how much of a crash is shown.
+const crashBytes = 1500
+
 var inForceLine = regexp.MustCompile(`"msg":"entry started"|"msg":"configuration in force".*"revision":([0-9]+)`)
 
 // judgeConfiguration reads from the logs whether a process ever went back to a lower revision.
