--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -31,7 +31,6 @@
 	used       driver.Resources
 	// confirmed is when the worker was first known to hold the attempt; zero before.
 	confirmed time.Time
-	stopping  bool
 	throttled bool
 	// leaseUntil is when the worker stops the attempt by itself.
 	leaseUntil time.Time
@@ -204,7 +203,6 @@
 		// The worker may be about to start it; the owner asks again.
 		return &peerpb.TaskReply{}
 	}
-	t.stopping = true
 	return nil
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -185,7 +185,7 @@
 	}
 	release := func() { e.bodies.Release(reserved) }
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), q.Deadline))
 	body, err := readAll(http.MaxBytesReader(w, r.Body, peer.BodyMaxBytes), r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
@@ -200,6 +200,13 @@
 	return nil, &problem.Problem{Type: "incomplete-body", Status: http.StatusBadRequest, Outcome: problem.OutcomeNotRun, Detail: "the body was not received whole in time", RequestID: q.ID}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // readAll reads a body into one buffer of the announced length.
 func readAll(r io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -483,6 +483,28 @@
 	return fmt.Sprintf("from %d to %d\n", revision, next), nil
 }
 
+// cmdPromote promotes a document: promote ENTRY FROM TO ; the target's revision is read first
+// if it is the system's own environment, and taken to be none otherwise.
+func cmdPromote(s *system, a arguments) (string, error) {
+	operator := s.operator(a.word(0))
+	revision := uint64(0)
+	if a.word(2) == s.document.Environment {
+		_, current, err := operator.Environment(context.Background(), a.word(2))
+		if err != nil {
+			return "", err
+		}
+		revision = current
+	}
+	next, err := operator.Promote(context.Background(), a.word(1), a.word(2), revision)
+	if err != nil {
+		return "", err
+	}
+	if a.word(2) == s.document.Environment {
+		s.accepted = int(next)
+	}
+	return fmt.Sprintf("from %s to %s: %d\n", a.word(1), a.word(2), next), nil
+}
+
 // cmdInForce waits until the newest accepted revision is in force in every data centre: inforce
 // [within=]
 func cmdInForce(s *system, a arguments) (string, error) {
