Answer a request whose body does not come

Cause: the read deadline was set through a response writer that does not pass it on, and was removed before the answer, so that the server waited for the rest of the body first. Ruled out: the timeout of the kind (2 s).

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -94,7 +94,7 @@
 		problem.Send(w, problem.Problem{Type: "draining", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "this entry is leaving", RequestID: q.ID})
 		return
 	}
-	release, p := e.readBody(r.Request, w, q)
+	release, p := e.readBody(r.Request, w.ResponseWriter, q)
 	if p != nil {
 		problem.Send(w, *p)
 		return
@@ -187,12 +187,14 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), q.Deadline))
 	body, err := readAll(http.MaxBytesReader(w, r.Body, peer.BodyMaxBytes), r.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		q.Body = body
 		return release, nil
 	}
 	release()
+	// The rest of the body is not waited for.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &problem.Problem{Type: "too-large", Status: http.StatusRequestEntityTooLarge, Outcome: problem.OutcomeNotRun, Detail: fmt.Sprintf("at most %d bytes are allowed", tooLarge.Limit), RequestID: q.ID}
