Send an unconfirmed stop again after half a second, not on every tick

A stop that found no session was sent again every 50 ms, 20 times a second for each task of an unreachable worker. Read while landing, not measured; the owners' schedules and tests pass as before.

--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -227,7 +227,7 @@
 		if now.After(w.grantEnd) && !w.lost {
 			o.loseWorker(w, now)
 		}
-		o.chase(w)
+		o.chase(w, now)
 	}
 	o.guard(now)
 	o.place(now)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -41,7 +41,7 @@
 		o.options.Metrics.Guards.WithLabelValues("preempt").Inc()
 		o.log.Info("task evicted", "worker", chosen, "task", a.task, "class", a.class, "reason", "room for urgent "+task)
 	}
-	o.chase(o.c.workers[chosen])
+	o.chase(o.c.workers[chosen], now)
 }
 
 // victims returns the patient tasks that must go for need to fit, the largest first, or
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -16,6 +16,7 @@
 	asideMin      = 20 * time.Second
 	asideMax      = 10 * time.Minute
 	coolDown      = time.Second
+	stopRetry     = 500 * time.Millisecond
 	// absences is how many full reports must miss an attempt before the agent is asked.
 	absences = 2
 )
@@ -73,7 +74,9 @@
 	// stop and evict tell that the attempt is to end.
 	stop  bool
 	evict bool
-	used  driver.Resources
+	// retryAt is when a stop that was not confirmed is sent again.
+	retryAt time.Time
+	used    driver.Resources
 }
 
 func (o *Owner) workerNamed(name string) *worker {
@@ -307,9 +310,9 @@
 }
 
 // chase repeats the stops that have not been confirmed.
-func (o *Owner) chase(w *worker) {
+func (o *Owner) chase(w *worker, now time.Time) {
 	for _, a := range w.assigned {
-		if (a.stop || a.evict) && !a.calling && !w.lost {
+		if (a.stop || a.evict) && !a.calling && !w.lost && now.After(a.retryAt) {
 			o.stopAttempt(w, a, a.evict && !a.stop)
 		}
 	}
@@ -336,11 +339,12 @@
 }
 
 func (o *Owner) stopped(w *worker, a *assignment, reply *peerpb.TaskReply, err error) {
+	now := time.Now()
 	a.calling = false
+	a.retryAt = now.Add(stopRetry)
 	if err != nil || !reply.GetAccepted() || w.assigned[a.task] != a {
 		return
 	}
-	now := time.Now()
 	switch {
 	case reply.GetState() != nil && reply.GetState().GetPhase() != peerpb.Phase_PHASE_RUNNING:
 		s := reply.GetState()
