Let the dialling side read why it was refused

Cause: the accepting side closed right after it had written the refusal, and a close with unread bytes discards what was sent. Ruled out: a lost write, as the send had returned.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -21,6 +21,7 @@
 const (
 	dialTimeout      = 2 * time.Second
 	handshakeTimeout = 3 * time.Second
+	refusalLinger    = time.Second
 	writeTimeout     = 3 * time.Second
 	streamTimeout    = 10 * time.Second
 )
@@ -138,6 +139,9 @@
 	}
 	if text := unwelcome(hello, system); text != "" {
 		_ = control.Send(welcomeFrame(&peerpb.Welcome{Version: Version, Error: text}))
+		// The dialling side closes once it has read why; closing first could lose the reason.
+		control.SetDeadline(time.Now().Add(refusalLinger))
+		_, _ = control.Receive()
 		return nil, nil, errors.New("peer: " + text)
 	}
 	control.SetDeadline(time.Time{})
