--- a/internal/local/cluster.go
+++ b/internal/local/cluster.go
@@ -259,9 +259,6 @@
 // Store returns the stand-in of the key-value service.
 func (c *Cluster) Store() *kv.Server { return c.store }
 
-// StoreURL returns the address of the key-value service.
-func (c *Cluster) StoreURL() string { return c.storeURL }
-
 // Document returns the document that was put in force at the start.
 func (c *Cluster) Document() *document.Document { return c.document }
 
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -215,6 +215,3 @@
 
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
-
-// RemoteAddress returns the other side's address.
-func (s *Session) RemoteAddress() string { return s.conn.RemoteAddr().String() }
