Take a cell only if its owner is missing from a registry read after the head

Cause: an entry that had read the registry just before its peer registered did not know the peer. The peer took the cell; the first one found it in the head, did not know it, waited for one second (goneDelay) and took the cell away, although its next reading of the registry was due in that very moment. Which came first was chance. The submission in flight was lost with the owner, and truthfully told to be in doubt.

Ruled out: a timeout (the answer came within 2.1 s, the timeout is 5 s); a lapsed registration (TTL 4 s, the system was 2 s old); a failed commit (the store had no fault).

The delay is gone. Ownership now follows from an order of events: an owner registers before it takes a cell, so it is gone only if a registry that was read after the head named it lacks it.

Before: TestCells/takeover: entry-1 took zuerich-a.0 from its living owner 1.0 s after it had found it, and again every 0.5 s when told to. After: never in 10 s, and taken within one reading once the owner is gone. The takeover of a dead owner's cell costs what it did: at most one reading (1 s).

TestCells also covers the cells of other data centres: taken after 30 s, yielded back. With awayDelay at 3 s or the yield turned off it fails.

Jobs in flight during a takeover are still told that they are in doubt; that comes next.

--- a/internal/driver/kv/kv.go
+++ b/internal/driver/kv/kv.go
@@ -48,6 +48,8 @@
 	Address string
 	// Timeout bounds each call but Watch.
 	Timeout time.Duration
+	// Transport carries the calls; nil means TCP.
+	Transport http.RoundTripper
 }
 
 // Client implements driver.Store; it is safe for concurrent use.
@@ -58,9 +60,12 @@
 
 // New returns a Client.
 func New(o Options) *Client {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.MaxIdleConnsPerHost = 16
-	return &Client{options: o, http: &http.Client{Transport: t}}
+	if o.Transport == nil {
+		t := http.DefaultTransport.(*http.Transport).Clone()
+		t.MaxIdleConnsPerHost = 16
+		o.Transport = t
+	}
+	return &Client{options: o, http: &http.Client{Transport: o.Transport}}
 }
 
 var _ driver.Store = (*Client)(nil)
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -26,9 +26,7 @@
 	rankDelay = 1500 * time.Millisecond
 	// awayDelay is how long a data centre must be without an entry before the entries of
 	// others take its cells.
-	awayDelay = 30 * time.Second
-	// goneDelay is how long an owner must be missing from the registry.
-	goneDelay   = time.Second
+	awayDelay   = 30 * time.Second
 	gossipFresh = 3 * time.Second
 	loadsFresh  = 400 * time.Millisecond
 )
@@ -42,6 +40,7 @@
 	stops    map[string]context.CancelFunc
 	heard    map[string]heard
 	free     map[string]time.Time
+	named    map[string]named
 	cached   []*peerpb.CellLoad
 	cachedAt time.Time
 	running  sync.WaitGroup
@@ -56,12 +55,19 @@
 	load  *peerpb.CellLoad
 }
 
+// named is the owner that a cell's head names.
+type named struct {
+	instance string
+	since    time.Time
+}
+
 func (c *cells) init(e *Entry) {
 	c.e = e
 	c.owners = map[string]*cell.Owner{}
 	c.stops = map[string]context.CancelFunc{}
 	c.heard = map[string]heard{}
 	c.free = map[string]time.Time{}
+	c.named = map[string]named{}
 }
 
 func cellName(dataCentre string, n uint64) string { return fmt.Sprintf("%s.%d", dataCentre, n) }
@@ -97,16 +103,21 @@
 	defer c.running.Wait()
 	c.ctx = ctx
 	for ctx.Err() == nil {
-		for _, name := range c.candidates() {
-			if ctx.Err() == nil && c.owner(name) == nil {
-				c.consider(ctx, name)
-			}
-		}
-		c.yield()
+		c.review(ctx)
 		loop.Pause(ctx, considerInterval)
 	}
 }
 
+// review takes the cells that are this entry's turn and gives up those that are not its own.
+func (c *cells) review(ctx context.Context) {
+	for _, name := range c.candidates() {
+		if ctx.Err() == nil && c.owner(name) == nil {
+			c.consider(ctx, name)
+		}
+	}
+	c.yield()
+}
+
 // candidates lists the cells that this entry may own: those of its data centre, and of
 // data centres that have no entry.
 func (c *cells) candidates() (names []string) {
@@ -147,11 +158,14 @@
 		return
 	}
 	if owner := head.GetOwner(); owner != "" && !head.GetReleased() && owner != c.e.instance {
+		since := c.namedSince(name, owner)
 		if c.alive(owner) {
 			c.clearFree(name)
 			return
 		}
-		if free < goneDelay {
+		// An owner registers before it takes a cell, so a registry that was read before
+		// the head may lack one that lives.
+		if !c.e.registryRead.Load().After(since) {
 			return
 		}
 	}
@@ -238,6 +252,16 @@
 	return alive
 }
 
+// namedSince returns when the cell's head was first seen to name its present owner.
+func (c *cells) namedSince(name, instance string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.named[name].instance != instance {
+		c.named[name] = named{instance: instance, since: time.Now()}
+	}
+	return c.named[name].since
+}
+
 func (c *cells) take(ctx context.Context, name string) {
 	owner, err := cell.Take(ctx, cell.Options{
 		Cell:     name,
--- /dev/null
+++ b/internal/entry/cells_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminebay/jasminebay/examples"
+	"github.com/jasminebay/jasminebay/internal/cell"
+	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
+	"github.com/jasminebay/jasminebay/internal/config"
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/driver/kv"
+	"github.com/jasminebay/jasminebay/internal/driver/place"
+	standin "github.com/jasminebay/jasminebay/internal/standin/kv"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
+)
+
+// direct answers calls by the handler itself, without a network.
+type direct struct{ handler http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// TestCells runs the scripts in testdata/cells: entry-1 of the data centre zuerich-a takes
+// and gives up cells while other entries come and go. Each command prints what it owns.
+func TestCells(t *testing.T) {
+	datadriven.Walk(t, "testdata/cells", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store := kv.New(kv.Options{Address: "http://kv", Timeout: time.Second, Transport: direct{standin.New(standin.Options{}).Handler()}})
+			e := New(Options{
+				ID: "entry-1", DataCentre: "zuerich-a", Store: store, Placer: place.NewPairScore(func() place.Weights { return place.Weights{} }),
+				Holder: exampleHolder(t), Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(),
+				Grant: time.Second, Margin: time.Second, StoreSilence: time.Second,
+			})
+			go e.loop.Run(ctx)
+			e.cells.ctx = ctx
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				runCells(t, ctx, e, store, strings.Fields(d.Cmd+" "+d.Input))
+				return cmp.Or(strings.Join(owned(&e.cells), " "), "none") + "\n"
+			})
+			cancel()
+			e.cells.running.Wait()
+		})
+	})
+}
+
+func exampleHolder(t *testing.T) *config.Holder {
+	raw, err := examples.Files.ReadFile("verband.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := config.NewHolder("production")
+	if _, err := h.Offer(1, mustJSON(t, config.Record{Document: raw})); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// runCells runs one command of a script.
+func runCells(t *testing.T, ctx context.Context, e *Entry, store driver.Store, words []string) {
+	switch words[0] {
+	case "registry":
+		if err := e.readRegistry(ctx); err != nil {
+			t.Fatal(err)
+		}
+		e.registered.Store(true)
+	case "register":
+		putItem(t, ctx, store, registryPrefix+words[1], mustJSON(t, registration{ID: words[1], DataCentre: words[2], Instance: words[1] + "/1"}))
+	case "deregister":
+		item, err := store.Get(ctx, registryPrefix+words[1])
+		if err == nil {
+			err = store.Delete(ctx, item.Key(), item.Revision())
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	case "head":
+		value, err := proto.Marshal(&cellpb.Head{Epoch: 1, Owner: words[2] + "/1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		putItem(t, ctx, store, cell.HeadKey(words[1]), value)
+	case "review":
+		wait, err := time.ParseDuration(words[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for began := time.Now(); time.Since(began) < wait; {
+			e.cells.review(ctx)
+			time.Sleep(considerInterval)
+		}
+	default:
+		t.Fatalf("unknown command %q", words[0])
+	}
+}
+
+func owned(c *cells) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.owners))
+}
+
+func mustJSON(t *testing.T, v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func putItem(t *testing.T, ctx context.Context, store driver.Store, key string, value []byte) {
+	if _, err := store.Swap(ctx, key, driver.RevisionAbsent, value, ""); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,10 +44,12 @@
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	registered  atomic.Bool
-	log         *slog.Logger
-	sessions    sync.WaitGroup
-	control     control
-	cells       cells
+	// registryRead is when the reading of the registry that known comes from began.
+	registryRead atomic.Pointer[time.Time]
+	log          *slog.Logger
+	sessions     sync.WaitGroup
+	control      control
+	cells        cells
 }
 
 // control is the state that only the loop's goroutine touches.
@@ -80,6 +82,7 @@
 	}
 	e.control.known[o.ID] = e.address()
 	e.control.instance[o.ID] = e.instance
+	e.registryRead.Store(&time.Time{})
 	e.cells.init(e)
 	return e
 }
--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -97,6 +97,7 @@
 	defer errs.Annotate(&err, "entry: read registry")
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	began := time.Now()
 	items, _, err := e.options.Store.List(ctx, registryPrefix)
 	if err != nil {
 		return err
@@ -111,7 +112,11 @@
 		known[r.ID] = &peerpb.EntryAddress{Id: r.ID, DataCentre: r.DataCentre, Address: r.Address, PeerAddress: r.Peers}
 		instances[r.ID] = r.Instance
 	}
-	return e.loop.Do(func() { e.replaceKnown(known, instances) })
+	if err = e.loop.Do(func() { e.replaceKnown(known, instances) }); err != nil {
+		return err
+	}
+	e.registryRead.Store(&began)
+	return nil
 }
 
 // replaceKnown runs on the loop.
