Repeat a call on a job while its cell changes hands

Cause: a submission, cancellation or question that came while the owner of the cell left or was lost was answered 503 or 504 at once, although the next owner was seconds away.

Ruled out: leaving it to callers. They have no key unless they chose one, so a repetition of theirs would be a second job; the entry has the job's id, under which a job is accepted once.

Once one try was in doubt, a later "not now" does not turn the answer into "not run". A verdict of an operator is not repeated after doubt, since its second answer would say that the task's fate is not open. The reply between entries says whether the cell has moved; a full queue is still refused at once.

--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -21,6 +21,8 @@
 var (
 	// ErrBusy tells that the cell takes no more jobs now; nothing was accepted.
 	ErrBusy = errors.New("cell: too much is waiting")
+	// ErrGivenUp tells that this owner has the cell no more; nothing was changed.
+	ErrGivenUp = errors.New("cell: given up")
 	// ErrNotDurable tells that a job was withdrawn before it became durable.
 	ErrNotDurable = errors.New("cell: not durable in time; withdrawn")
 	// ErrInDoubt tells that it is not known yet whether a change became durable.
@@ -43,7 +45,7 @@
 	s := &submission{job: job, done: make(chan struct{})}
 	var err error
 	if stopped := o.loop.Do(func() { err = o.enqueue(s) }); stopped != nil {
-		return ErrBusy
+		return ErrGivenUp
 	}
 	if err != nil {
 		return err
@@ -58,7 +60,10 @@
 }
 
 func (o *Owner) enqueue(s *submission) error {
-	if o.c.stopped || o.c.queue.size+len(s.job.GetTasks()) > WaitingMax {
+	if o.c.stopped {
+		return ErrGivenUp
+	}
+	if o.c.queue.size+len(s.job.GetTasks()) > WaitingMax {
 		return ErrBusy
 	}
 	if len(o.c.submits) >= submitsMax && !o.displace(s) {
@@ -190,12 +195,12 @@
 	var err error
 	if stopped := o.loop.Do(func() {
 		if o.c.stopped {
-			err = ErrBusy
+			err = ErrGivenUp
 			return
 		}
 		err = f(func() { close(durable) })
 	}); stopped != nil {
-		return ErrBusy
+		return ErrGivenUp
 	}
 	if err != nil {
 		return err
@@ -218,7 +223,7 @@
 // Job returns a copy of a job.
 func (o *Owner) Job(id string) (job *cellpb.Job, err error) {
 	if o.loop.Do(func() { job = o.c.state.Job(id) }) != nil {
-		return nil, ErrBusy
+		return nil, ErrGivenUp
 	}
 	if job == nil {
 		return nil, ErrNoJob
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,6 +23,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/errs"
 	"github.com/jasminebay/jasminebay/internal/fence"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	"github.com/jasminebay/jasminebay/internal/problem"
@@ -37,6 +39,8 @@
 	jobsListMax   = 1000
 	jobRetryAfter = 2 * time.Second
 	nameMaxBytes  = 200
+	// ownerPoll is the interval at which a call looks for the next owner of a cell.
+	ownerPoll = 100 * time.Millisecond
 )
 
 // Operations of a JobCall.
@@ -295,7 +299,7 @@
 	e.cells.others("", func(l *peerpb.CellLoad) { names = append(names, l.GetCell()) })
 	jobs := []client.Job{}
 	for _, name := range names {
-		reply := e.callJob(ctx, &peerpb.JobCall{Operation: operationList, Cell: name})
+		reply := e.callOwner(ctx, &peerpb.JobCall{Operation: operationList, Cell: name})
 		var part []client.Job
 		if reply.GetStatus() == http.StatusOK && json.Unmarshal(reply.GetBody(), &part) == nil {
 			jobs = append(jobs, part...)
@@ -310,14 +314,33 @@
 	writeReply(w, &peerpb.JobReply{Status: http.StatusOK, Body: body})
 }
 
-// callJob runs an operation here if this entry owns the cell, or at the peer that does.
+// callJob runs an operation at the owner of the job's cell. While the cell changes hands it
+// runs the operation again, until ctx ends; one that took effect has no second effect.
 func (e *Entry) callJob(ctx context.Context, call *peerpb.JobCall) *peerpb.JobReply {
+	var doubt *peerpb.JobReply
+	for {
+		reply := e.callOwner(ctx, call)
+		switch {
+		case reply.GetStatus() == http.StatusGatewayTimeout:
+			doubt = reply
+		case reply.GetStatus() != http.StatusServiceUnavailable || !reply.GetMoved() && doubt == nil:
+			return reply
+		}
+		loop.Pause(ctx, ownerPoll)
+		if ctx.Err() != nil || call.GetOperation() == operationSettle && doubt != nil {
+			return cmp.Or(doubt, reply)
+		}
+	}
+}
+
+// callOwner runs an operation here if this entry owns the cell, or at the peer that does.
+func (e *Entry) callOwner(ctx context.Context, call *peerpb.JobCall) *peerpb.JobReply {
 	if e.cells.owner(call.GetCell()) != nil {
 		return e.serveJobCall(ctx, call)
 	}
 	session := e.ownerSession(call.GetCell())
 	if session == nil {
-		return problemReply(problem.Problem{Type: "no-owner", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "the cell has no owner that can be reached now"})
+		return movedReply("no-owner", "the cell has no owner that can be reached now")
 	}
 	f, err := session.Call(ctx, peer.JobCallFrame(call))
 	if err != nil || f.GetJobReply() == nil {
@@ -326,6 +349,13 @@
 	return f.GetJobReply()
 }
 
+// movedReply tells that nothing was done and that the cell's next owner may do it.
+func movedReply(kind, detail string) *peerpb.JobReply {
+	reply := problemReply(problem.Problem{Type: kind, Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: detail})
+	reply.Moved = true
+	return reply
+}
+
 func (e *Entry) ownerSession(name string) (session *peer.Session) {
 	e.cells.mu.Lock()
 	h, ok := e.cells.heard[name]
@@ -347,7 +377,7 @@
 	defer cancel()
 	owner := e.cells.owner(call.GetCell())
 	if owner == nil {
-		return problemReply(problem.Problem{Type: "not-owner", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "this entry does not own the cell any more"})
+		return movedReply("not-owner", "this entry does not own the cell any more")
 	}
 	switch call.GetOperation() {
 	case operationSubmit:
@@ -387,6 +417,8 @@
 	switch {
 	case err == nil:
 		return jsonReply(status, toJob(job))
+	case errors.Is(err, cell.ErrGivenUp):
+		return movedReply("not-owner", "this entry does not own the cell any more")
 	case errors.Is(err, cell.ErrNoJob):
 		return problemReply(problem.Problem{Type: "no-job", Status: http.StatusNotFound, Detail: "no such job or task"})
 	case errors.Is(err, cell.ErrSettled):
