Forget a peer's cells when it stops naming them or its session ends

Cause: an entry believed for 3 s after a peer's last word (gossipFresh) that the peer owned its cells, even when the peer had said in that time that it had given them up, or had left. So every planned replacement of an owner left its cells without one for more than 3 s, and urgent work is to start within 1.3 s.

Ruled out: a shorter gossipFresh: it would make every late word a read of the head. Handing the cell to a named successor: the head's compare-and-swap decides anyway, and a successor may be leaving too.

A peer that has said that it is draining is also no longer counted in the order for cells. What the registry and the head say decides as before; a lost session alone costs reads of the head, no ownership.

The death of an owner still costs 5 to 8 s.

--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -301,10 +302,12 @@
 	c.e.options.Metrics.CellsOwned.Dec()
 }
 
-// learn takes in a peer's word on its cells.
+// learn takes in a peer's word on its cells; one that it does not name any more it has
+// given up.
 func (c *cells) learn(state *peerpb.PeerState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forgetLocked(state.GetId())
 	for _, l := range state.GetCells() {
 		if h, ok := c.heard[l.GetCell()]; !ok || l.GetEpoch() >= h.load.GetEpoch() {
 			c.heard[l.GetCell()] = heard{entry: state.GetId(), at: time.Now(), load: l}
@@ -312,6 +315,17 @@
 	}
 }
 
+// forget drops a peer's word on its cells.
+func (c *cells) forget(peer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forgetLocked(peer)
+}
+
+func (c *cells) forgetLocked(peer string) {
+	maps.DeleteFunc(c.heard, func(_ string, h heard) bool { return h.entry == peer })
+}
+
 // loads returns the headroom of the cells that this entry owns.
 func (c *cells) loads() []*peerpb.CellLoad {
 	c.mu.Lock()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -103,6 +103,11 @@
 func (e *Entry) removePeer(p *peerSession) {
 	if e.control.peers[p.id] == p {
 		delete(e.control.peers, p.id)
+		e.cells.forget(p.id)
+	}
+	if p.state.GetDraining() && e.control.known[p.id] != nil {
+		delete(e.control.known, p.id)
+		e.control.knownAt++
 	}
 	e.publish()
 }
