Say that an entry is ready only once an agent has reported to it

The trace shows the entry of basel-b with its configuration and no agent: it had been up for 0.4 s, and agents come back after their own growing, jittered delays (up to 5 s). The balancer would have sent callers there, since /readyz asked for a configuration only.

Ruled out: shorter delays of agents (18,000 agents at a dead entry); holding requests until an agent comes (it hides an entry that can't serve from the balancer). An entry without an agent is ready after 6 s all the same: agents would have come, and it can still pass requests to other data centres.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -198,6 +198,7 @@
 	if changed {
 		e.publish()
 	}
+	e.warm.Store(true)
 }
 
 // mergeByService adds up the upstreams of a service behind one agent.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,9 @@
 	// leaveNotice is how long a leaving entry goes on accepting callers, so that the
 	// balancer sees that it is not ready.
 	leaveNotice = 500 * time.Millisecond
+	// warmUp is how long an entry without an agent is not ready: agents that can reach it
+	// dial it within that time.
+	warmUp = 6 * time.Second
 )
 
 // Listeners are the sockets that an Entry serves.
@@ -50,6 +53,9 @@
 	sessions     sync.WaitGroup
 	control      control
 	cells        cells
+	started      time.Time
+	// warm tells that an agent has reported to this process.
+	warm atomic.Bool
 }
 
 // control is the state that only the loop's goroutine touches.
@@ -71,6 +77,7 @@
 		incarnation: incarnation,
 		instance:    o.ID + "/" + strconv.FormatUint(incarnation, 36),
 		loop:        loop.New(),
+		started:     time.Now(),
 		bodies:      semaphore.NewWeighted(bodiesMaxBytes),
 		log:         o.Log.With("entry", o.ID, "data-centre", o.DataCentre),
 		control: control{
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -537,7 +537,21 @@
 	return "", err
 }
 
-func cmdReady(s *system, _ arguments) (string, error) { return "", s.ready() }
+// cmdReady waits until the system is whole, or until a balancer would send callers to each
+// live entry: ready [balancer]
+func cmdReady(s *system, a arguments) (string, error) {
+	if a.word(0) != "balancer" {
+		return "", s.ready()
+	}
+	return "", until(func() error {
+		for _, name := range s.live() {
+			if _, err := s.ask(s.processes[name].callers + "/readyz"); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
 
 // cmdOwners waits until the head of each cell names a live owner: owners [epoch=]
 func cmdOwners(s *system, a arguments) (string, error) {
