Count an instance that announces several addresses as one upstream

Cause: an agent knew upstreams by address. One that announces itself under two names of its address was two upstreams to it, each with all its slots, so it got 16 requests in 8 slots.

Ruled out: comparing resolved addresses (two names may resolve differently later; one process may listen twice); the upstream's list of what it runs, which comes too late, twice a second. The announcement already names the instance. The first address is called for as long as it is announced; an instance that moves keeps its gate and so its slots. The address of a request is now fixed when the request is offered to the gate, as it may change.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -56,8 +56,10 @@
 	service  string
 	address  string
 	instance string
-	gate     *gate.Gate
-	window   *window
+	// named is when the upstream last announced address.
+	named  time.Time
+	gate   *gate.Gate
+	window *window
 }
 
 // New returns an Agent that does nothing until Run is called.
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -73,30 +73,57 @@
 
 // announce takes in what an upstream says; it runs on the loop.
 func (a *Agent) announce(n driver.Announcement) bool {
-	key := n.Service + "@" + n.Address
-	u := a.control.upstreams[key]
+	u := a.announced(n)
 	if u == nil && len(a.control.upstreams) >= upstreamsMax {
 		return false
 	}
+	now := time.Now()
 	if u == nil {
 		u = &upstream{service: n.Service, address: n.Address, instance: n.Instance, gate: gate.New(), window: newWindow()}
-		a.control.upstreams[key] = u
+		a.control.upstreams[upstreamKey(n.Service, n.Address)] = u
 		a.log.Info("upstream announced", "service", n.Service, "address", n.Address, "slots", n.Slots)
 	}
+	if u.address == n.Address {
+		u.named = now
+	}
 	if u.instance != n.Instance {
 		a.log.Warn("upstream replaced at the same address", "service", n.Service, "address", n.Address)
 		u.instance = n.Instance
 	}
-	a.options.Upstream.Limit(n.Address, n.Connections)
-	wasReady, wasDraining := u.gate.Ready(time.Now()), u.gate.Draining()
-	u.gate.Announce(time.Now(), n.Slots, n.Draining || a.control.draining, n.Running)
-	if u.gate.Ready(time.Now()) != wasReady || u.gate.Draining() != wasDraining {
+	a.options.Upstream.Limit(u.address, n.Connections)
+	wasReady, wasDraining := u.gate.Ready(now), u.gate.Draining()
+	u.gate.Announce(now, n.Slots, n.Draining || a.control.draining, n.Running)
+	if u.gate.Ready(now) != wasReady || u.gate.Draining() != wasDraining {
 		a.signal()
 	}
 	a.options.Metrics.SlotsTaken.WithLabelValues(n.Service).Set(float64(u.gate.InFlight()))
 	return true
 }
 
+func upstreamKey(service, address string) string { return service + "@" + address }
+
+// announced returns the upstream that an announcement is of, or nil if it is a new one. An
+// instance that announces several addresses is one upstream, which is called at the first
+// of them for as long as it announces that one.
+func (a *Agent) announced(n driver.Announcement) *upstream {
+	if u := a.control.upstreams[upstreamKey(n.Service, n.Address)]; u != nil {
+		return u
+	}
+	for key, u := range a.control.upstreams {
+		if u.service != n.Service || u.instance != n.Instance {
+			continue
+		}
+		if time.Since(u.named) >= driver.AnnouncementTTL {
+			a.log.Info("upstream moved", "service", n.Service, "from", u.address, "to", n.Address)
+			delete(a.control.upstreams, key)
+			u.address = n.Address
+			a.control.upstreams[upstreamKey(n.Service, n.Address)] = u
+		}
+		return u
+	}
+	return nil
+}
+
 // upstreamFor returns the least loaded upstream of a service, or nil; it runs on the loop.
 func (a *Agent) upstreamFor(service string) *upstream {
 	now := time.Now()
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -30,8 +30,10 @@
 	deadline time.Time
 	stream   *peer.Stream
 	upstream *upstream
-	verdict  chan gate.Verdict
-	fenced   bool
+	// address is where the upstream is called.
+	address string
+	verdict chan gate.Verdict
+	fenced  bool
 }
 
 // serveRequest runs one request and answers on its stream.
@@ -116,6 +118,7 @@
 		r.verdict <- gate.Verdict{Reason: peerpb.Reason_REASON_NO_UPSTREAM}
 		return nil
 	}
+	r.address = r.upstream.address
 	// An idempotent request has a record as well, so that a cancellation that overtakes it holds.
 	earlier, full := a.control.records.Begin(now, r.head.GetId(), r.head.GetKeyed())
 	if earlier != nil {
@@ -154,7 +157,7 @@
 // call sends the request to the upstream and its answer to the entry.
 func (a *Agent) call(ctx context.Context, r *request) {
 	began := time.Now()
-	answer, err := a.options.Upstream.Do(ctx, r.upstream.address, driver.Call{
+	answer, err := a.options.Upstream.Do(ctx, r.address, driver.Call{
 		ID: r.head.GetId(), Kind: r.head.GetKind(), Path: r.head.GetPath(),
 		ContentType: r.head.GetContentType(), Body: r.body,
 	})
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -133,11 +133,11 @@
 }
 
 // cmdSend sends requests: send NAME KIND [count=] [entry=] [concurrency=] [size=] [key=]
-// [path=] [timeout=] [background=yes]. Without a count it sends until finish.
+// [path=] [timeout=] [leave=] [background=yes]. Without a count it sends until finish.
 func cmdSend(s *system, a arguments) (string, error) {
 	n := &sender{
 		system: s, name: a.word(0), kind: a.word(1), count: a.number("count", 0), concurrency: a.number("concurrency", 8),
-		size: a.number("size", 0), key: a.text("key", ""), path: a.text("path", ""), timeout: a.duration("timeout", 0),
+		size: a.number("size", 0), key: a.text("key", ""), path: a.text("path", ""), timeout: a.duration("timeout", 0), leave: a.duration("leave", 0),
 		until: make(chan struct{}), done: make(chan struct{}), counts: map[string]int{}, upstreams: map[string]int{}, details: map[string]int{},
 	}
 	if e := a.text("entry", ""); e != "" {
@@ -667,6 +667,28 @@
 	return string(answer[:n]) + "\n", nil
 }
 
+// cmdCalls checks that the store gets at most so many calls in any second: calls most= for=
+func cmdCalls(s *system, a arguments) (string, error) {
+	var totals []int
+	for began := time.Now(); time.Since(began) < a.duration("for", time.Second); time.Sleep(callsSample) {
+		c := s.store.Counts()
+		totals = append(totals, c.Reads+c.Writes+c.Refused)
+	}
+	peak := 0
+	second := int(time.Second / callsSample)
+	for i := range totals {
+		peak = max(peak, totals[i]-totals[max(0, i-second)])
+	}
+	text := fmt.Sprintf("peak=%d a second\n", peak)
+	if most := a.number("most", 0); peak > most {
+		return text, fmt.Errorf("the store got %d calls in a second, want at most %d", peak, most)
+	}
+	return text, nil
+}
+
+// callsSample is how often the store's calls are counted.
+const callsSample = 100 * time.Millisecond
+
 // cmdAmplification checks that the entries have sent at most so many times as many
 // requests as they got: amplification MOST
 func cmdAmplification(s *system, a arguments) (string, error) {
--- a/internal/scenario/traffic_test.go
+++ b/internal/scenario/traffic_test.go
@@ -35,14 +35,16 @@
 	key         string
 	path        string
 	timeout     time.Duration
-	until       chan struct{}
-	once        sync.Once
-	done        chan struct{}
-	mu          sync.Mutex
-	counts      map[string]int
-	latencies   []time.Duration
-	upstreams   map[string]int
-	details     map[string]int
+	// leave is when callers go away, 0 means never.
+	leave     time.Duration
+	until     chan struct{}
+	once      sync.Once
+	done      chan struct{}
+	mu        sync.Mutex
+	counts    map[string]int
+	latencies []time.Duration
+	upstreams map[string]int
+	details   map[string]int
 }
 
 // run sends count requests, or as many as fit until the channel is closed.
@@ -111,7 +113,12 @@
 
 func (s *sender) call(entry, key string, body []byte) (result, upstream string, took time.Duration) {
 	began := time.Now()
-	answer, err := client.New(client.Options{Address: s.system.processes[entry].callers, HTTP: callerHTTP}).Do(context.Background(), client.Request{
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if s.leave > 0 {
+		defer time.AfterFunc(s.leave, cancel).Stop()
+	}
+	answer, err := client.New(client.Options{Address: s.system.processes[entry].callers, HTTP: callerHTTP}).Do(ctx, client.Request{
 		Service: s.system.document.Services[0].Name, Kind: s.kind, Body: body, Key: key, Path: s.path, Timeout: s.timeout,
 	})
 	took = time.Since(began)
@@ -121,6 +128,8 @@
 		return problem.Outcome + ": " + problem.Detail, "", took
 	case errors.As(err, &problem):
 		return fmt.Sprintf("status-%d", problem.Status), "", took
+	case ctx.Err() != nil:
+		return "left", "", took
 	case err != nil:
 		return "broken", "", took
 	case answer.Status != http.StatusOK:
@@ -144,7 +153,7 @@
 	defer s.mu.Unlock()
 	total := 0
 	var b strings.Builder
-	for _, result := range []string{"answered", "not-run", "unknown", "ran", "broken", "wrong"} {
+	for _, result := range []string{"answered", "not-run", "unknown", "ran", "broken", "wrong", "left"} {
 		fmt.Fprintf(&b, "%s=%d ", result, s.counts[result])
 	}
 	for result, n := range s.counts {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 	// Silent stops the announcements.
 	Silent   bool `json:"silent"`
 	Draining bool `json:"draining"`
+	// Twice announces the upstream under a second name of its address as well.
+	Twice bool `json:"twice"`
 }
 
 // Run is a line of the upstream's own record.
@@ -150,6 +153,14 @@
 	if faults.Silent {
 		return
 	}
+	s.send(ctx, n)
+	if faults.Twice {
+		n.Address = strings.Replace(n.Address, "127.0.0.1", "localhost", 1)
+		s.send(ctx, n)
+	}
+}
+
+func (s *Server) send(ctx context.Context, n driver.Announcement) {
 	body, err := json.Marshal(n)
 	if err != nil {
 		return
