--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -1,15 +1,19 @@
 package scenario
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -93,6 +97,9 @@
 		if err != nil && !neg {
 			ts.Fatalf("%v", err)
 		}
+		if err != nil {
+			_, _ = fmt.Fprintln(ts.Stdout(), err)
+		}
 		if err == nil && neg {
 			ts.Fatalf("unexpected success")
 		}
@@ -463,8 +470,8 @@
 	return "", fmt.Errorf("unknown call %q", a.word(0))
 }
 
-// cmdApply changes the configuration: apply ENTRY [revision=] ; without a revision it is
-// the one that is read first.
+// cmdApply changes the configuration: apply ENTRY [revision=] [bytes=] ; without a revision
+// it is the one that is read first, and bytes pads the document.
 func cmdApply(s *system, a arguments) (string, error) {
 	operator := s.operator(a.word(0))
 	revision := uint64(a.number("revision", 0))
@@ -475,7 +482,8 @@
 		}
 		revision = current
 	}
-	next, err := operator.Apply(context.Background(), s.document.Environment, revision, s.raw)
+	raw := append(bytes.Repeat([]byte{' '}, max(0, a.number("bytes", 0)-len(s.raw))), s.raw...)
+	next, err := operator.Apply(context.Background(), s.document.Environment, revision, raw)
 	if err != nil {
 		return "", err
 	}
@@ -483,6 +491,43 @@
 	return fmt.Sprintf("from %d to %d\n", revision, next), nil
 }
 
+// cmdRace lets operators change the same revision at once, through all entries in turn, and
+// checks that one wins and the others are told the current revision: race operators= rounds=
+func cmdRace(s *system, a arguments) (string, error) {
+	live := s.live()
+	for range a.number("rounds", 1) {
+		_, revision, err := s.operator(live[0]).Environment(context.Background(), s.document.Environment)
+		if err != nil {
+			return "", err
+		}
+		results := make([]error, a.number("operators", 2))
+		accepted := make([]uint64, len(results))
+		var wait sync.WaitGroup
+		for i := range results {
+			wait.Go(func() {
+				accepted[i], results[i] = s.operator(live[i%len(live)]).Apply(context.Background(), s.document.Environment, revision, s.raw)
+			})
+		}
+		wait.Wait()
+		next := slices.Max(accepted)
+		winners := 0
+		for _, err := range results {
+			var problem *client.Error
+			switch {
+			case err == nil:
+				winners++
+			case !errors.As(err, &problem) || problem.Status != http.StatusPreconditionFailed || problem.Revision != next:
+				return "", fmt.Errorf("revision %d became %d and an operator was told: %w", revision, next, err)
+			}
+		}
+		if winners != 1 {
+			return "", fmt.Errorf("%d operators won over revision %d", winners, revision)
+		}
+		s.accepted = int(next)
+	}
+	return "", nil
+}
+
 // cmdPromote promotes a document: promote ENTRY FROM TO ; the target's revision is read first
 // if it is the system's own environment, and taken to be none otherwise.
 func cmdPromote(s *system, a arguments) (string, error) {
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -55,7 +55,7 @@
 			"system": command(cmdSystem), "send": command(cmdSend), "finish": command(cmdFinish),
 			"judge": command(cmdJudge), "signal": command(cmdSignal), "start": command(cmdStart), "twin": command(cmdTwin),
 			"link": command(cmdLink), "fault": command(cmdFault), "submit": command(cmdSubmit),
-			"await": command(cmdAwait), "job": command(cmdJob), "apply": command(cmdApply), "promote": command(cmdPromote),
+			"await": command(cmdAwait), "job": command(cmdJob), "apply": command(cmdApply), "race": command(cmdRace), "promote": command(cmdPromote),
 			"inforce": command(cmdInForce), "sleep": command(cmdSleep), "ready": command(cmdReady),
 			"owners": command(cmdOwners), "logged": command(cmdLogged), "runs": command(cmdRuns),
 			"tasks": command(cmdTasks), "raw": command(cmdRaw), "calls": command(cmdCalls), "amplification": command(cmdAmplification),
--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -10,14 +10,14 @@
 	"github.com/matryer/is"
 )
 
-// TestParse checks the documents in testdata, each of which is the Verband's document
+// TestParse checks the documents in testdata/parse, each of which is the Verband's document
 // with one text replaced by another.
 func TestParse(t *testing.T) {
 	example, err := os.ReadFile("../../examples/verband.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/parse", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			raw := string(example)
 			if d.Cmd == "replace" {
