Refuse to lower a data centre's number of cells, and test several cells

Cause: no test had more than one cell a data centre. Writing one showed a fault by reading: a cell that the document names no more gets no worker and, once its owner has gone, no owner, so its waiting jobs would stay where nobody sees to them. Accepted work would be lost.

Ruled out: keeping owners for cells beyond the number (they have no workers); handing jobs from cell to cell (two journals, and one job must never be in both or neither; a great deal of machinery for a change that nobody needs). The number may grow; a change that lowers it is refused with the field, the value and the one in force, before the write. An operator's change now costs one more read of the store; a stale revision costs a write less.

--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -78,6 +78,9 @@
 	if len(record) > driver.StoreMaxValueBytes {
 		return 0, nil, document.Faults{{Path: "$", Message: fmt.Sprintf("%d bytes as kept, at most %d are allowed", len(record), driver.StoreMaxValueBytes)}}
 	}
+	if err = e.checkChange(ctx, environment, revision, d); err != nil {
+		return 0, nil, err
+	}
 	next, err = e.Store.Swap(ctx, Key(environment), revision, record, "")
 	switch {
 	case err == nil:
@@ -91,6 +94,28 @@
 	return 0, nil, err
 }
 
+// checkChange checks what the document in force does not allow of the next one.
+func (e *Editor) checkChange(ctx context.Context, environment string, revision uint64, next *document.Document) error {
+	if revision == driver.RevisionAbsent {
+		return nil
+	}
+	raw, current, err := e.Get(ctx, environment)
+	switch {
+	case errors.Is(err, driver.ErrNotFound):
+		return &ConflictError{}
+	case err != nil:
+		return err
+	case current != revision:
+		return &ConflictError{Revision: current}
+	}
+	before, err := document.Parse(raw)
+	if err != nil {
+		// One that an older release accepted must not stand in the way of a valid one.
+		return nil
+	}
+	return before.CheckChange(next)
+}
+
 func (e *Editor) conflict(ctx context.Context, environment string) error {
 	_, revision, err := e.Get(ctx, environment)
 	if err != nil && !errors.Is(err, driver.ErrNotFound) {
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -115,6 +116,7 @@
 		times:    map[string]time.Duration{}, grant: a.duration("grant", 4*time.Second),
 		margin: a.duration("margin", time.Second), silence: a.duration("silence", 10*time.Minute),
 		policy: a.text("policy", ""), guards: a.text("guards", "on") == "on",
+		cells: a.number("cells", 1),
 	}
 	raw, err := examples.Files.ReadFile(s.options.example + ".json")
 	if err != nil {
@@ -133,12 +135,25 @@
 			s.options.times[k.Name] = a.duration(k.Name, 2*time.Millisecond)
 		}
 	}
-	if s.raw, err = json.Marshal(s.document); err != nil {
+	if quota := a.number("quota", 0); quota > 0 {
+		s.document.Teams[0].Quota.MilliCPU = int64(quota)
+	}
+	if err := s.setCells(s.options.cells); err != nil {
 		return "", err
 	}
 	return "", s.boot()
 }
 
+// setCells changes the number of cells of each data centre in the document.
+func (s *system) setCells(cells int) (err error) {
+	s.options.cells = cells
+	for i := range s.document.DataCentres {
+		s.document.DataCentres[i].Cells = cells
+	}
+	s.raw, err = json.Marshal(s.document)
+	return err
+}
+
 // cmdSend sends requests: send NAME KIND [count=] [entry=] [concurrency=] [size=] [key=]
 // [path=] [timeout=] [leave=] [background=yes]. Without a count it sends until finish.
 func cmdSend(s *system, a arguments) (string, error) {
@@ -438,11 +453,18 @@
 	return fmt.Sprintf("state=%s counts=%v evictions=%d attempts=%d\n%s", job.State, job.Counts, evictions, attempts, b.String())
 }
 
-// cmdJob calls on a job: job cancel NAME | job settle NAME OUTCOME | job drain WORKER
+// cmdJob calls on a job: job cancel NAME | job settle NAME OUTCOME | job drain WORKER ; or
+// checks that two jobs lie in different cells: job apart NAME NAME
 func cmdJob(s *system, a arguments) (string, error) {
 	operator := s.operator(s.live()[0])
 	id := s.jobs[a.word(1)]
 	switch a.word(0) {
+	case "apart":
+		cell := id[:strings.LastIndexByte(id, '-')+1]
+		if strings.HasPrefix(s.jobs[a.word(2)], cell) {
+			return "", fmt.Errorf("both jobs lie in %s", cell)
+		}
+		return "", nil
 	case "cancel":
 		return "", until(func() error {
 			_, err := operator.Cancel(context.Background(), id)
@@ -470,8 +492,8 @@
 	return "", fmt.Errorf("unknown call %q", a.word(0))
 }
 
-// cmdApply changes the configuration: apply ENTRY [revision=] [bytes=] ; without a revision
-// it is the one that is read first, and bytes pads the document.
+// cmdApply changes the configuration: apply ENTRY [revision=] [bytes=] [cells=] ; without a
+// revision it is the one that is read first, and bytes pads the document.
 func cmdApply(s *system, a arguments) (string, error) {
 	operator := s.operator(a.word(0))
 	revision := uint64(a.number("revision", 0))
@@ -482,10 +504,14 @@
 		}
 		revision = current
 	}
+	before := s.options.cells
+	if err := s.setCells(a.number("cells", before)); err != nil {
+		return "", err
+	}
 	raw := append(bytes.Repeat([]byte{' '}, max(0, a.number("bytes", 0)-len(s.raw))), s.raw...)
 	next, err := operator.Apply(context.Background(), s.document.Environment, revision, raw)
 	if err != nil {
-		return "", err
+		return "", errors.Join(err, s.setCells(before))
 	}
 	s.accepted = int(next)
 	return fmt.Sprintf("from %d to %d\n", revision, next), nil
@@ -602,22 +628,31 @@
 func cmdOwners(s *system, a arguments) (string, error) {
 	return "", until(func() error {
 		for _, dc := range s.document.DataCentres {
-			found := false
-			for _, name := range s.live() {
-				text, err := s.tail(name)
-				if err != nil {
+			for n := range dc.Cells {
+				if err := s.taken(fmt.Sprintf("%s.%d", dc.Name, n), a.text("epoch", "")); err != nil {
 					return err
 				}
-				found = found || strings.Contains(text, `"cell taken"`) && strings.Contains(text, `"cell":"`+dc.Name+`.0","epoch":`+a.text("epoch", ""))
-			}
-			if !found {
-				return fmt.Errorf("nobody has taken %s.0 under epoch %s", dc.Name, a.text("epoch", "any"))
 			}
 		}
 		return nil
 	})
 }
 
+// taken reports whether a live entry has logged that it took a cell, under an epoch if it
+// is not "".
+func (s *system) taken(cell, epoch string) error {
+	for _, name := range s.live() {
+		text, err := s.tail(name)
+		if err != nil {
+			return err
+		}
+		if strings.Contains(text, `"cell taken"`) && strings.Contains(text, `"cell":"`+cell+`","epoch":`+epoch) {
+			return nil
+		}
+	}
+	return fmt.Errorf("nobody has taken %s under epoch %s", cell, cmp.Or(epoch, "any"))
+}
+
 func (s *system) tail(name string) (string, error) {
 	data, err := os.ReadFile(s.processes[name].log)
 	return string(data), err
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -69,6 +69,8 @@
 	silence     time.Duration
 	policy      string
 	guards      bool
+	// cells is the number of cells of each data centre.
+	cells int
 }
 
 // machine is the stand-ins that one agent stands beside.
