Split the scenario commands and the entry's jobs by what they hold

Cause: internal/scenario/commands_test.go had grown to 800 lines and internal/entry/jobs.go to 498, each holding several things. Nothing but the place of declarations changed; checks and code are as they were.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,8 +22,6 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/errs"
 	"github.com/jasminebay/jasminebay/internal/fence"
-	"github.com/jasminebay/jasminebay/internal/loop"
-	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	"github.com/jasminebay/jasminebay/internal/problem"
 	"github.com/jasminebay/jasminebay/pkg/client"
@@ -102,100 +99,12 @@
 	writeReply(w, e.callJob(ctx, &peerpb.JobCall{Operation: operationSubmit, Cell: cellOf(job.GetId()), Job: job.GetId(), Body: body}))
 }
 
-func nameTasks(job *cellpb.Job) {
-	for i, t := range job.GetTasks() {
-		t.Id = job.GetId() + "." + strconv.Itoa(i)
-	}
-}
-
 // cellOf returns the cell of a job's id.
 func cellOf(job string) string {
 	i := strings.LastIndexByte(job, '-')
 	return job[:max(i, 0)]
 }
 
-// parseJob reads a job and fills in what its task kinds say.
-func (e *Entry) parseJob(raw []byte) (*cellpb.Job, document.Faults) {
-	d := e.options.Holder.Document()
-	if d == nil {
-		return nil, document.Faults{{Path: "$", Message: "no configuration is known yet"}}
-	}
-	var spec client.JobSpec
-	faults := document.Strict(raw, &spec)
-	if len(faults) > 0 {
-		return nil, faults
-	}
-	fault := func(path, format string, args ...any) {
-		faults = append(faults, document.Fault{Path: path, Message: fmt.Sprintf(format, args...)})
-	}
-	if d.Team(spec.Team) == nil {
-		fault("$.team", "the configuration has no team %q", spec.Team)
-	}
-	if spec.Name == "" || len(spec.Name) > nameMaxBytes {
-		fault("$.name", "want 1 to %d bytes", nameMaxBytes)
-	}
-	if spec.Urgency != "" && spec.Urgency.Rank() < 0 {
-		fault("$.urgency", "%q is not one of urgent, ordinary, patient", string(spec.Urgency))
-	}
-	job := &cellpb.Job{
-		Environment: d.Environment, Team: spec.Team, Name: spec.Name, Gang: spec.Gang,
-		Urgency: int32(spec.Urgency.Rank()), AcceptedUnixMillis: time.Now().UnixMilli(),
-	}
-	for i, t := range spec.Tasks {
-		path := fmt.Sprintf("$.tasks[%d]", i)
-		kind := d.TaskKind(t.Kind)
-		if kind == nil {
-			fault(path+".kind", "the configuration has no task kind %q", t.Kind)
-			continue
-		}
-		checkTask(t, path, fault)
-		if spec.Urgency == "" {
-			job.Urgency = max(job.Urgency, int32(kind.Urgency.Rank()))
-		}
-		job.Tasks = append(job.Tasks, tasksOf(t, kind)...)
-	}
-	if n := len(job.GetTasks()); len(faults) == 0 && (n == 0 || n > jobTasksMax) {
-		fault("$.tasks", "%d tasks are not in 1 to %d", n, jobTasksMax)
-	}
-	return job, faults
-}
-
-func checkTask(t client.TaskSpec, path string, fault func(path, format string, args ...any)) {
-	if t.Count < 0 || t.Count > jobTasksMax {
-		fault(path+".count", "%d is not in 0 to %d", t.Count, jobTasksMax)
-	}
-	if t.MilliCPU < 1 {
-		fault(path+".milli-cpu", "%d is not at least 1", t.MilliCPU)
-	}
-	if t.MemoryBytes < 0 {
-		fault(path+".memory-bytes", "%d is not at least 0", t.MemoryBytes)
-	}
-	if t.Accelerators < 0 {
-		fault(path+".accelerators", "%d is not at least 0", t.Accelerators)
-	}
-	if t.Run.D() < 0 {
-		fault(path+".run", "%v is not at least 0s", t.Run.D())
-	}
-	if t.MaxAttempts < 0 {
-		fault(path+".max-attempts", "%d is not at least 0", t.MaxAttempts)
-	}
-}
-
-func tasksOf(t client.TaskSpec, kind *document.TaskKind) (tasks []*cellpb.Task) {
-	attempts := t.MaxAttempts
-	if attempts == 0 {
-		attempts = kind.MaxAttempts
-	}
-	for range min(max(t.Count, 1), jobTasksMax) {
-		tasks = append(tasks, &cellpb.Task{
-			Kind: kind.Name, Class: kind.Class, Idempotent: kind.Idempotent, MaxAttempts: uint32(attempts),
-			Resources: &cellpb.Resources{MilliCpu: t.MilliCPU, MemoryBytes: t.MemoryBytes, Accelerators: t.Accelerators},
-			RunMillis: t.Run.D().Milliseconds(),
-		})
-	}
-	return tasks
-}
-
 // chooseCell returns the cell with the most room among those whose largest worker holds
 // the job's largest task, one of this data centre if there is any such, or "".
 func (e *Entry) chooseCell(job *cellpb.Job) string {
@@ -314,148 +223,6 @@
 	writeReply(w, &peerpb.JobReply{Status: http.StatusOK, Body: body})
 }
 
-// callJob runs an operation at the owner of the job's cell. While the cell changes hands it
-// runs the operation again, until ctx ends; one that took effect has no second effect.
-func (e *Entry) callJob(ctx context.Context, call *peerpb.JobCall) *peerpb.JobReply {
-	var doubt *peerpb.JobReply
-	for {
-		reply := e.callOwner(ctx, call)
-		switch {
-		case reply.GetStatus() == http.StatusGatewayTimeout:
-			doubt = reply
-		case reply.GetStatus() != http.StatusServiceUnavailable || !reply.GetMoved() && doubt == nil:
-			return reply
-		}
-		loop.Pause(ctx, ownerPoll)
-		if ctx.Err() != nil || call.GetOperation() == operationSettle && doubt != nil {
-			return cmp.Or(doubt, reply)
-		}
-	}
-}
-
-// callOwner runs an operation here if this entry owns the cell, or at the peer that does.
-func (e *Entry) callOwner(ctx context.Context, call *peerpb.JobCall) *peerpb.JobReply {
-	if e.cells.owner(call.GetCell()) != nil {
-		return e.serveJobCall(ctx, call)
-	}
-	session := e.ownerSession(call.GetCell())
-	if session == nil {
-		return movedReply("no-owner", "the cell has no owner that can be reached now")
-	}
-	f, err := session.Call(ctx, peer.JobCallFrame(call))
-	if err != nil || f.GetJobReply() == nil {
-		return problemReply(problem.Problem{Type: "no-answer", Status: http.StatusGatewayTimeout, Outcome: problem.OutcomeUnknown, Detail: "the cell's owner gave no answer"})
-	}
-	return f.GetJobReply()
-}
-
-// movedReply tells that nothing was done and that the cell's next owner may do it.
-func movedReply(kind, detail string) *peerpb.JobReply {
-	reply := problemReply(problem.Problem{Type: kind, Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: detail})
-	reply.Moved = true
-	return reply
-}
-
-func (e *Entry) ownerSession(name string) (session *peer.Session) {
-	e.cells.mu.Lock()
-	h, ok := e.cells.heard[name]
-	e.cells.mu.Unlock()
-	if !ok {
-		return nil
-	}
-	_ = e.loop.Do(func() {
-		if p := e.control.peers[h.entry]; p != nil {
-			session = p.session
-		}
-	})
-	return session
-}
-
-// serveJobCall runs an operation on a job of a cell that this entry owns.
-func (e *Entry) serveJobCall(ctx context.Context, call *peerpb.JobCall) *peerpb.JobReply {
-	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
-	defer cancel()
-	owner := e.cells.owner(call.GetCell())
-	if owner == nil {
-		return movedReply("not-owner", "this entry does not own the cell any more")
-	}
-	switch call.GetOperation() {
-	case operationSubmit:
-		job := &cellpb.Job{}
-		if err := proto.Unmarshal(call.GetBody(), job); err != nil {
-			return problemReply(problem.Problem{Type: "invalid", Status: http.StatusBadRequest, Detail: err.Error()})
-		}
-		return jobReply(owner, call.GetJob(), http.StatusAccepted, owner.Submit(ctx, job))
-	case operationGet:
-		return jobReply(owner, call.GetJob(), http.StatusOK, nil)
-	case operationCancel:
-		return jobReply(owner, call.GetJob(), http.StatusOK, owner.Cancel(ctx, call.GetJob()))
-	case operationSettle:
-		return jobReply(owner, call.GetJob(), http.StatusOK, owner.Settle(ctx, call.GetTask(), call.GetOutcome() == "finished"))
-	case operationList:
-		return listReply(owner)
-	}
-	return problemReply(problem.Problem{Type: "invalid", Status: http.StatusBadRequest, Detail: "unknown operation " + call.GetOperation()})
-}
-
-func listReply(owner *cell.Owner) *peerpb.JobReply {
-	jobs := []client.Job{}
-	for _, job := range owner.Jobs(jobsListMax) {
-		j := toJob(job)
-		j.Tasks = nil
-		jobs = append(jobs, j)
-	}
-	return jsonReply(http.StatusOK, jobs)
-}
-
-// jobReply answers with the job after a call that ended with err.
-func jobReply(owner *cell.Owner, id string, status int, err error) *peerpb.JobReply {
-	var job *cellpb.Job
-	if err == nil {
-		job, err = owner.Job(id)
-	}
-	switch {
-	case err == nil:
-		return jsonReply(status, toJob(job))
-	case errors.Is(err, cell.ErrGivenUp):
-		return movedReply("not-owner", "this entry does not own the cell any more")
-	case errors.Is(err, cell.ErrNoJob):
-		return problemReply(problem.Problem{Type: "no-job", Status: http.StatusNotFound, Detail: "no such job or task"})
-	case errors.Is(err, cell.ErrSettled):
-		return problemReply(problem.Problem{Type: "settled", Status: http.StatusConflict, Detail: "the fate of the task is not open"})
-	case errors.Is(err, cell.ErrInDoubt):
-		return problemReply(problem.Problem{Type: "in-doubt", Status: http.StatusGatewayTimeout, Outcome: problem.OutcomeUnknown, Detail: "not known yet whether it is durable; repeat with the same idempotency key"})
-	}
-	return problemReply(problem.Problem{Type: "busy", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: err.Error()})
-}
-
-func jsonReply(status int, v any) *peerpb.JobReply {
-	body, err := json.Marshal(v)
-	if err != nil {
-		return problemReply(problem.Problem{Type: "internal", Status: http.StatusInternalServerError, Detail: err.Error()})
-	}
-	return &peerpb.JobReply{Status: int32(status), Body: body}
-}
-
-func problemReply(p problem.Problem) *peerpb.JobReply {
-	p.Title = http.StatusText(p.Status)
-	p.Type = "urn:jasminebay:problem:" + p.Type
-	return jsonReply(p.Status, p)
-}
-
-func writeReply(w http.ResponseWriter, r *peerpb.JobReply) {
-	contentType := restful.MIME_JSON
-	if r.GetStatus() >= http.StatusBadRequest {
-		contentType = problem.ContentType
-	}
-	if r.GetStatus() == http.StatusServiceUnavailable {
-		problem.RetryAfter(w, jobRetryAfter)
-	}
-	w.Header().Set("Content-Type", contentType)
-	w.WriteHeader(int(r.GetStatus()))
-	_, _ = w.Write(r.GetBody())
-}
-
 func sendFaults(w http.ResponseWriter, faults document.Faults) {
 	p := problem.Problem{Type: "invalid", Status: http.StatusUnprocessableEntity, Detail: fmt.Sprintf("%d fault(s)", len(faults))}
 	for _, f := range faults {
@@ -463,33 +230,3 @@
 	}
 	problem.Send(w, p)
 }
-
-var urgencyNames = [...]document.Urgency{document.UrgencyPatient, document.UrgencyOrdinary, document.UrgencyUrgent}
-
-// toJob returns a job as callers see it.
-func toJob(job *cellpb.Job) client.Job {
-	j := client.Job{
-		ID: job.GetId(), Team: job.GetTeam(), Name: job.GetName(), Cancelled: job.GetCancelled(), State: client.JobStateActive,
-		Urgency: urgencyNames[min(max(job.GetUrgency(), 0), int32(len(urgencyNames)-1))], Counts: map[string]int{},
-	}
-	if cell.Done(job) {
-		j.State = client.JobStateDone
-	}
-	for _, t := range job.GetTasks() {
-		phase := strings.ToLower(strings.TrimPrefix(t.GetPhase().String(), "PHASE_"))
-		j.Counts[phase]++
-		j.Tasks = append(j.Tasks, client.Task{
-			ID: t.GetId(), Kind: t.GetKind(), Phase: phase, Attempt: t.GetAttempt(), Worker: t.GetWorker(),
-			Checkpoint: t.GetCheckpoint(), Evictions: t.GetEvictions(), Failures: t.GetFailures(), Detail: t.GetDetail(),
-		})
-	}
-	if open := len(job.GetTasks()) - j.Counts[client.TaskPhaseUnknown]; j.State != client.JobStateDone && j.Counts[client.TaskPhaseUnknown] > 0 && ended(j) == open {
-		j.State = client.JobStateInDoubt
-	}
-	return j
-}
-
-// ended counts the tasks of a job that have reached a terminal phase.
-func ended(j client.Job) int {
-	return j.Counts["finished"] + j.Counts["failed"] + j.Counts["cancelled"] + j.Counts["infeasible"]
-}
--- /dev/null
+++ b/internal/entry/jobview.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"strings"
+
+	"github.com/jasminebay/jasminebay/internal/cell"
+	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
+	"github.com/jasminebay/jasminebay/pkg/client"
+	"github.com/jasminebay/jasminebay/pkg/document"
+)
+
+var urgencyNames = [...]document.Urgency{document.UrgencyPatient, document.UrgencyOrdinary, document.UrgencyUrgent}
+
+// toJob returns a job as callers see it.
+func toJob(job *cellpb.Job) client.Job {
+	j := client.Job{
+		ID: job.GetId(), Team: job.GetTeam(), Name: job.GetName(), Cancelled: job.GetCancelled(), State: client.JobStateActive,
+		Urgency: urgencyNames[min(max(job.GetUrgency(), 0), int32(len(urgencyNames)-1))], Counts: map[string]int{},
+	}
+	if cell.Done(job) {
+		j.State = client.JobStateDone
+	}
+	for _, t := range job.GetTasks() {
+		phase := strings.ToLower(strings.TrimPrefix(t.GetPhase().String(), "PHASE_"))
+		j.Counts[phase]++
+		j.Tasks = append(j.Tasks, client.Task{
+			ID: t.GetId(), Kind: t.GetKind(), Phase: phase, Attempt: t.GetAttempt(), Worker: t.GetWorker(),
+			Checkpoint: t.GetCheckpoint(), Evictions: t.GetEvictions(), Failures: t.GetFailures(), Detail: t.GetDetail(),
+		})
+	}
+	if open := len(job.GetTasks()) - j.Counts[client.TaskPhaseUnknown]; j.State != client.JobStateDone && j.Counts[client.TaskPhaseUnknown] > 0 && ended(j) == open {
+		j.State = client.JobStateInDoubt
+	}
+	return j
+}
+
+// ended counts the tasks of a job that have reached a terminal phase.
+func ended(j client.Job) int {
+	return j.Counts["finished"] + j.Counts["failed"] + j.Counts["cancelled"] + j.Counts["infeasible"]
+}
--- /dev/null
+++ b/internal/scenario/arguments_test.go
@@ -0,0 +1,89 @@
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/jasminebay/jasminebay/internal/standin/relay"
+)
+
+type systemKey struct{}
+
+func setup(env *testscript.Env) error {
+	s := &system{
+		dir: env.WorkDir, processes: map[string]*process{}, machines: map[string]*machine{},
+		relays: map[string]*relay.Relay{}, senders: map[string]*sender{}, jobs: map[string]string{},
+	}
+	env.Values[systemKey{}] = s
+	env.Defer(s.close)
+	return nil
+}
+
+// arguments are the words of a command: NAME=VALUE pairs and others in order.
+type arguments struct {
+	words []string
+	named map[string]string
+}
+
+func (a arguments) word(i int) string {
+	if i < len(a.words) {
+		return a.words[i]
+	}
+	return ""
+}
+
+func (a arguments) number(name string, otherwise int) int {
+	if n, err := strconv.Atoi(a.named[name]); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+func (a arguments) duration(name string, otherwise time.Duration) time.Duration {
+	if d, err := time.ParseDuration(a.named[name]); err == nil {
+		return d
+	}
+	return otherwise
+}
+
+func (a arguments) text(name, otherwise string) string {
+	if v, ok := a.named[name]; ok {
+		return v
+	}
+	return otherwise
+}
+
+// command turns a function over the system into a script command. What it returns as text
+// becomes the command's standard output.
+func command(f func(*system, arguments) (string, error)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, words []string) {
+		a := arguments{named: map[string]string{}}
+		for _, w := range words {
+			name, value, ok := strings.Cut(w, "=")
+			if ok && !strings.HasPrefix(w, "{") {
+				a.named[name] = value
+			} else {
+				a.words = append(a.words, w)
+			}
+		}
+		s := ts.Value(systemKey{}).(*system)
+		out, err := f(s, a)
+		if out != "" {
+			_, _ = fmt.Fprint(ts.Stdout(), out)
+			ts.Logf("%s", out)
+		}
+		if err != nil && !neg {
+			ts.Fatalf("%v", err)
+		}
+		if err != nil {
+			_, _ = fmt.Fprintln(ts.Stdout(), err)
+		}
+		if err == nil && neg {
+			ts.Fatalf("unexpected success")
+		}
+	}
+}
