Keep a worker in its cell while attempts are open, and move few workers on growth

Three faults, by reading and by tests that failed first:

- Agents list their tasks to their cell's owner alone.
An entry that had just become the owner got a report without tasks, took the worker for one without any, and counted it to the cell that its name now hashes to.
So the new owner never heard the workers that had stayed, and lost them when their grants ended.
TestWorkerStaysInItsCell: zuerich-a.0, want zuerich-a.1.
Reports now say whether attempts are open.
- An agent took the grant of another cell once nothing ran, though ends were not settled yet; the other cell would have them forgotten, and the first would run the task again.
TestCommands/cells: accepted running, want refused.
Open attempts count now, not reservations.
- Cells were a hash modulo their number, so a third one moved two thirds of all workers and left cell 0 of the test without any.

Ruled out: task states in every report (bytes, 4 KB a second for a node); a cell's choice kept in the store (a write for each worker).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -129,7 +129,7 @@
 func (o *owner) command(t *testing.T, d *datadriven.TestData) string {
 	var epoch, term, attempt, grant int
 	var task string
-	cpu := 1000
+	cpu, cell := 1000, "dc.0"
 	for name, target := range map[string]*int{"epoch": &epoch, "term": &term, "attempt": &attempt, "grant": &grant, "cpu": &cpu} {
 		if d.HasArg(name) {
 			d.ScanArgs(t, name, target)
@@ -138,22 +138,25 @@
 	if d.HasArg("task") {
 		d.ScanArgs(t, "task", &task)
 	}
+	if d.HasArg("cell") {
+		d.ScanArgs(t, "cell", &cell)
+	}
 	switch d.Cmd {
 	case "grant":
 		o.mu.Lock()
-		o.update = &peerpb.Update{Cell: "dc.0", Epoch: uint64(epoch), Term: uint64(term), GrantMillis: int64(grant)}
+		o.update = &peerpb.Update{Cell: cell, Epoch: uint64(epoch), Term: uint64(term), GrantMillis: int64(grant)}
 		o.mu.Unlock()
 		// Several heartbeats carry the grant, and a short one ends.
 		time.Sleep(400 * time.Millisecond)
 		return ""
 	case "start":
 		return o.call(t, peer.StartFrame(&peerpb.StartTask{
-			Cell: "dc.0", Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt),
+			Cell: cell, Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt),
 			Resources: driver.NewResources(int64(cpu), 1, 0).Message(),
 		}))
 	case "stop":
 		return o.call(t, peer.StopFrame(&peerpb.StopTask{
-			Cell: "dc.0", Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt), Checkpoint: d.HasArg("checkpoint"),
+			Cell: cell, Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt), Checkpoint: d.HasArg("checkpoint"),
 		}))
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -227,7 +227,7 @@
 		a.log.Warn("grant refused: stale epoch", "entry", l.id, "epoch", u.GetEpoch(), "term", u.GetTerm(), "known-epoch", c.grant.epoch)
 		return false
 	}
-	if u.GetCell() != c.grant.cell && c.grant.cell != "" && c.ledger.Holders() > 0 {
+	if u.GetCell() != c.grant.cell && c.grant.cell != "" && len(c.attempts) > 0 {
 		a.log.Warn("grant refused: attempts of another cell", "cell", u.GetCell(), "held", c.grant.cell)
 		return false
 	}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -28,6 +28,7 @@
 	r := &peerpb.Report{
 		Sequence: sequence, Cell: c.grant.cell, Epoch: c.grant.epoch, Term: c.grant.term,
 		Draining: c.draining, Revision: c.slice.GetRevision(), Rebuilding: c.rebuilding,
+		Holding: len(c.attempts) > 0,
 	}
 	for _, u := range c.upstreams {
 		if u.gate.Present(now) {
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -79,17 +79,30 @@
 	return name[:max(i, 0)]
 }
 
-// of returns the cell that an agent's worker belongs to. One that runs tasks stays in the
+// of returns the cell that an agent's worker belongs to. One with open attempts stays in the
 // cell that started them.
 func (c *cells) of(hello *peerpb.Hello, r *peerpb.Report) string {
-	if r.GetCell() != "" && len(r.GetTasks()) > 0 {
+	if r.GetCell() != "" && r.GetHolding() {
 		return r.GetCell()
 	}
 	d := c.e.options.Holder.Document()
 	if d == nil {
 		return ""
 	}
-	return cellName(hello.GetDataCentre(), xxhash.Sum64String(hello.GetId())%uint64(d.Cells(hello.GetDataCentre())))
+	return cellOfWorker(hello.GetDataCentre(), hello.GetId(), d.Cells(hello.GetDataCentre()))
+}
+
+// cellOfWorker spreads a data centre's workers over its cells by rendezvous hashing, so that
+// one more cell takes its workers evenly from the others and moves no other worker.
+func cellOfWorker(dataCentre, worker string, cells int) (name string) {
+	var highest uint64
+	for n := range cells {
+		cell := cellName(dataCentre, uint64(n))
+		if hash := xxhash.Sum64String(worker + "\x00" + cell); name == "" || hash > highest {
+			name, highest = cell, hash
+		}
+	}
+	return name
 }
 
 // owner returns the owner of a cell if it is in this process, or nil.
--- a/internal/entry/cells_test.go
+++ b/internal/entry/cells_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -24,6 +25,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/driver/kv"
 	"github.com/jasminebay/jasminebay/internal/driver/place"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	standin "github.com/jasminebay/jasminebay/internal/standin/kv"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
@@ -117,6 +119,47 @@
 	return slices.Sorted(maps.Keys(c.owners))
 }
 
+// TestWorkerStaysInItsCell reports of a worker whose own cell is zuerich-a.0.
+func TestWorkerStaysInItsCell(t *testing.T) {
+	e := New(Options{ID: "entry-1", DataCentre: "zuerich-a", Holder: exampleHolder(t), Log: slog.New(slog.DiscardHandler)})
+	hello := &peerpb.Hello{Id: "runner-0", DataCentre: "zuerich-a"}
+	for _, each := range []struct {
+		report *peerpb.Report
+		want   string
+	}{
+		{&peerpb.Report{}, "zuerich-a.0"},
+		{&peerpb.Report{Cell: "zuerich-a.1"}, "zuerich-a.0"},
+		// Reports to others than the owner list no tasks.
+		{&peerpb.Report{Cell: "zuerich-a.1", Holding: true}, "zuerich-a.1"},
+	} {
+		if got := e.cells.of(hello, each.report); got != each.want {
+			t.Errorf("%v: in %s, want %s", each.report, got, each.want)
+		}
+	}
+}
+
+// TestGrowthMovesWorkersToTheNewCell adds cells one by one.
+func TestGrowthMovesWorkersToTheNewCell(t *testing.T) {
+	const workers = 1000
+	for cells := 1; cells < 8; cells++ {
+		moved := 0
+		for n := range workers {
+			worker := fmt.Sprintf("runner-%d", n)
+			before, after := cellOfWorker("a", worker, cells), cellOfWorker("a", worker, cells+1)
+			if before == after {
+				continue
+			}
+			moved++
+			if after != cellName("a", uint64(cells)) {
+				t.Fatalf("%s moved from %s to %s", worker, before, after)
+			}
+		}
+		if share := workers / (cells + 1); moved < share/2 || moved > 2*share {
+			t.Errorf("the cell of %d got %d of %d workers", cells+1, moved, workers)
+		}
+	}
+}
+
 func mustJSON(t *testing.T, v any) []byte {
 	raw, err := json.Marshal(v)
 	if err != nil {
