Serve upstreams of another data centre until its entries tell of them

The logs show that the one agent that had dialled it was of zuerich-a: agents without an entry of their own dial others. Its upstream was left out of the routing table, as an entry of zuerich-a was connected, which was as new and had not told of any upstream. So the entry was ready and could route nowhere.

Two changes: a data centre counts as served once a peer tells of upstreams there; and an entry is ready once its routing table holds an upstream or a neighbour, not once any agent has reported.

Ruled out: waiting for all agents (nobody knows how many there are); a delay.

It has no test of its own that fails each time.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -198,7 +198,6 @@
 	if changed {
 		e.publish()
 	}
-	e.warm.Store(true)
 }
 
 // mergeByService adds up the upstreams of a service behind one agent.
@@ -308,12 +307,15 @@
 	e.publishPeers(t)
 	e.options.Metrics.Agents.Set(float64(len(e.control.agents)))
 	e.options.Router.Publish(t)
+	if len(t.Services)+len(t.Neighbours) > 0 {
+		e.warm.Store(true)
+	}
 }
 
-// served reports whether a peer entry serves a data centre.
+// served reports whether a peer entry tells of upstreams in a data centre.
 func (e *Entry) served(dataCentre string) bool {
 	for _, p := range e.control.peers {
-		if p.state.GetDataCentre() == dataCentre && !p.state.GetDraining() {
+		if p.state.GetDataCentre() == dataCentre && !p.state.GetDraining() && len(p.state.GetServices()) > 0 {
 			return true
 		}
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -76,7 +76,7 @@
 	case e.options.Holder.Current() == nil:
 		problem.Write(w, http.StatusServiceUnavailable, "not-ready", "no configuration is known yet")
 	case !e.warm.Load() && time.Since(e.started) < warmUp:
-		problem.Write(w, http.StatusServiceUnavailable, "not-ready", "no agent has reported yet")
+		problem.Write(w, http.StatusServiceUnavailable, "not-ready", "no upstream is known yet")
 	default:
 		_, _ = io.WriteString(w, "ready\n")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,8 +25,8 @@
 	// leaveNotice is how long a leaving entry goes on accepting callers, so that the
 	// balancer sees that it is not ready.
 	leaveNotice = 500 * time.Millisecond
-	// warmUp is how long an entry without an agent is not ready: agents that can reach it
-	// dial it within that time.
+	// warmUp is how long an entry that knows no upstream is not ready: agents that can reach
+	// it dial it within that time.
 	warmUp = 6 * time.Second
 )
 
@@ -54,7 +54,7 @@
 	control      control
 	cells        cells
 	started      time.Time
-	// warm tells that an agent has reported to this process.
+	// warm tells that this process has known an upstream, here or through a peer.
 	warm atomic.Bool
 }
 
