Bound the bytes that keeping the document costs an agent

Ruled out: fewer keepers (the limit holds for each node); a fixed pause of ten seconds (it delays small documents too, which cost nothing); differences (a second way to read a document, that must be right while everything else is down).

Agents now report the revision of the document they keep beside the one they obey, so four entries do not send the same one, and each session has 256 bytes a second for it after a burst of 16 KB. What an agent obeys travels at once, as before.

A minute after the last change the agent keeps the newest.

If the store is down and every entry is replaced within seconds of a change to a large document, entries start from the one before until the store is back.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,10 +45,12 @@
 	rebuilding bool
 	draining   bool
 	slice      *peerpb.Slice
-	entries    map[string]*peerpb.EntryAddress
-	links      map[string]*link
-	changed    chan struct{}
-	sweptAt    time.Time
+	// document is the newest slice that carried a whole document, or nil.
+	document *peerpb.Slice
+	entries  map[string]*peerpb.EntryAddress
+	links    map[string]*link
+	changed  chan struct{}
+	sweptAt  time.Time
 }
 
 // upstream is one process that has announced itself to this agent.
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -212,13 +212,7 @@
 	c := &a.control
 	a.learn(u.GetEntries())
 	l.revision = u.GetRevision()
-	if u.GetSlice().GetRevision() > c.slice.GetRevision() {
-		if len(u.GetSlice().GetDocument()) == 0 && u.GetSlice().GetEnvironment() == c.slice.GetEnvironment() {
-			a.log.Info("configuration changed", "revision", u.GetSlice().GetRevision())
-		}
-		c.slice = u.GetSlice()
-		a.signal()
-	}
+	a.learnSlice(u.GetSlice())
 	l.owner = false
 	if u.GetCell() == "" || a.options.Worker == nil {
 		return false
@@ -241,6 +235,21 @@
 	return true
 }
 
+// learnSlice takes in a part of the document, and the whole of it if the agent is to keep
+// it for new entries; it runs on the loop.
+func (a *Agent) learnSlice(s *peerpb.Slice) {
+	c := &a.control
+	if len(s.GetDocument()) > 0 && s.GetRevision() > c.document.GetRevision() {
+		c.document = s
+		a.signal()
+	}
+	if s.GetRevision() > c.slice.GetRevision() {
+		a.log.Info("configuration changed", "revision", s.GetRevision())
+		c.slice = s
+		a.signal()
+	}
+}
+
 // goStreams serves the streams that the entry opens until the session ends, and then
 // closes the returned channel.
 func (a *Agent) goStreams(ctx context.Context, s *peer.Session) <-chan struct{} {
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -28,15 +28,15 @@
 	r := &peerpb.Report{
 		Sequence: sequence, Cell: c.grant.cell, Epoch: c.grant.epoch, Term: c.grant.term,
 		Draining: c.draining, Revision: c.slice.GetRevision(), Rebuilding: c.rebuilding,
-		Holding: len(c.attempts) > 0,
+		Holding: len(c.attempts) > 0, DocumentRevision: c.document.GetRevision(),
 	}
 	for _, u := range c.upstreams {
 		if u.gate.Present(now) {
 			r.Upstreams = append(r.Upstreams, upstreamState(now, u, c.draining))
 		}
 	}
-	if c.slice.GetRevision() > l.revision && len(c.slice.GetDocument()) > 0 {
-		r.Known = c.slice
+	if c.document.GetRevision() > l.revision {
+		r.Known = c.document
 	}
 	if a.options.Worker == nil || c.rebuilding {
 		return r
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/jasminebay/jasminebay/internal/cell"
 	"github.com/jasminebay/jasminebay/internal/config"
@@ -25,6 +26,10 @@
 	silenceLimit = 3 * time.Second
 	// keepers is about how many agents of a data centre keep the whole document.
 	keepers = 8
+	// keeperBytesPerSecond and keeperBurstBytes bound what one entry spends on keeping the
+	// document of one agent up to date.
+	keeperBytesPerSecond = 256
+	keeperBurstBytes     = 16 << 10
 	// documentMaxBytes bounds what is unpacked of a document from an agent.
 	documentMaxBytes = 2 << 20
 )
@@ -37,10 +42,19 @@
 	report  *peerpb.Report
 	seen    time.Time
 	cell    string
+	// documents bounds the bytes of documents that the agent is sent.
+	documents *rate.Limiter
 	// knownSent is the version of the list of entries that the agent has.
 	knownSent uint64
 }
 
+func newAgentSession(hello *peerpb.Hello, s *peer.Session) *agentSession {
+	return &agentSession{
+		hello: hello, session: s, targets: map[string]*route.Target{}, seen: time.Now(),
+		documents: rate.NewLimiter(keeperBytesPerSecond, keeperBurstBytes),
+	}
+}
+
 // goAccept serves sessions of agents and peers until ctx ends.
 func (e *Entry) goAccept(ctx context.Context, l net.Listener) <-chan struct{} {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
@@ -92,7 +106,7 @@
 
 // serveAgent answers an agent's heartbeats until the session ends.
 func (e *Entry) serveAgent(s *peer.Session, control *peer.Stream, hello *peerpb.Hello) error {
-	a := &agentSession{hello: hello, session: s, targets: map[string]*route.Target{}, seen: time.Now()}
+	a := newAgentSession(hello, s)
 	welcome := &peerpb.Welcome{Id: e.options.ID, DataCentre: e.options.DataCentre}
 	_ = e.loop.Do(func() {
 		welcome.Entries, a.knownSent = e.entries()
@@ -150,9 +164,10 @@
 	current := e.options.Holder.Current()
 	update := &peerpb.Update{Sequence: r.GetSequence()}
 	var cellName string
+	keeper := false
 	_ = e.loop.Do(func() {
 		e.observe(a, r)
-		cellName = a.cell
+		cellName, keeper = a.cell, e.keeps(a)
 		if a.knownSent != e.control.knownAt {
 			update.Entries, a.knownSent = e.entries()
 		}
@@ -166,11 +181,50 @@
 	}
 	update.Revision = current.Revision()
 	if r.GetRevision() < current.Revision() {
-		update.Slice = e.slice(a, r, current)
+		update.Slice = slice(r, current)
+	}
+	if keeper && r.GetDocumentRevision() < current.Revision() {
+		e.addDocument(a, r, current, update)
 	}
 	return update
 }
 
+// keeps reports whether an agent is one of the few that keep the whole document, so that a
+// new entry can learn it from them while the key-value service is down; it runs on the loop.
+func (e *Entry) keeps(a *agentSession) bool {
+	agents := len(e.control.agents)
+	return agents <= keepers || xxhash.Sum64String(a.hello.GetId())%uint64(agents) < keepers
+}
+
+// addDocument adds the document to an update, or leaves it to a later one if the agent was
+// sent much of late.
+func (e *Entry) addDocument(a *agentSession, r *peerpb.Report, current *config.Current, update *peerpb.Update) {
+	packed := e.packed(current)
+	if !a.documents.AllowN(time.Now(), min(len(packed), keeperBurstBytes)) {
+		return
+	}
+	if update.Slice == nil {
+		update.Slice = slice(r, current)
+	}
+	update.Slice.Document = packed
+}
+
+// packed returns the document in the form that travels between processes.
+func (e *Entry) packed(current *config.Current) []byte {
+	p := e.packedDocument.Load()
+	if p == nil || p.revision != current.Revision() {
+		p = &packedDocument{revision: current.Revision(), data: pack(current.Raw())}
+		e.packedDocument.Store(p)
+	}
+	return p.data
+}
+
+// packedDocument is a document as it travels between processes.
+type packedDocument struct {
+	revision uint64
+	data     []byte
+}
+
 // observe takes in a heartbeat; it runs on the loop.
 func (e *Entry) observe(a *agentSession, r *peerpb.Report) {
 	now := time.Now()
@@ -222,19 +276,13 @@
 	return merged
 }
 
-// slice cuts what an agent needs out of the document. A few agents get the whole, so that
-// a new entry can learn it from them while the key-value service is down.
-func (e *Entry) slice(a *agentSession, r *peerpb.Report, current *config.Current) *peerpb.Slice {
+// slice cuts what an agent needs out of the document.
+func slice(r *peerpb.Report, current *config.Current) *peerpb.Slice {
 	d := current.Document()
 	s := &peerpb.Slice{Revision: current.Revision(), Environment: d.Environment, Guards: d.Guards.Enabled}
 	for _, u := range r.GetUpstreams() {
 		s.Kinds = append(s.Kinds, kindSlices(d.Service(u.GetService()))...)
 	}
-	agents := 0
-	_ = e.loop.Do(func() { agents = len(e.control.agents) })
-	if agents <= keepers || xxhash.Sum64String(a.hello.GetId())%uint64(agents) < keepers {
-		s.Document = pack(current.Raw())
-	}
 	return s
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,12 +48,13 @@
 	draining    atomic.Bool
 	registered  atomic.Bool
 	// registryRead is when the reading of the registry that known comes from began.
-	registryRead atomic.Pointer[time.Time]
-	log          *slog.Logger
-	sessions     sync.WaitGroup
-	control      control
-	cells        cells
-	started      time.Time
+	registryRead   atomic.Pointer[time.Time]
+	log            *slog.Logger
+	sessions       sync.WaitGroup
+	control        control
+	cells          cells
+	started        time.Time
+	packedDocument atomic.Pointer[packedDocument]
 	// warm tells that this process has known an upstream, here or through a peer.
 	warm atomic.Bool
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -306,7 +306,7 @@
 		Environment: e.options.Holder.Environment(), Draining: e.draining.Load(), Cells: e.cells.loads(),
 	}
 	if current.Revision() > peerRevision {
-		s.Document = pack(current.Raw())
+		s.Document = e.packed(current)
 	}
 	_ = e.loop.Do(func() {
 		e.control.sequence++
