Split the entry's cells by what they hold

Cause: internal/entry/cells.go had grown to 427 lines: which cells an entry owns, what others say of theirs, and commands to agents.

--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -15,7 +13,6 @@
 	"github.com/jasminebay/jasminebay/internal/cell"
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/loop"
-	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
 
@@ -49,13 +46,6 @@
 	ctx context.Context
 }
 
-// heard is a peer's word on a cell that it owns.
-type heard struct {
-	entry string
-	at    time.Time
-	load  *peerpb.CellLoad
-}
-
 // named is the owner that a cell's head names.
 type named struct {
 	instance string
@@ -314,114 +304,3 @@
 	c.mu.Unlock()
 	c.e.options.Metrics.CellsOwned.Dec()
 }
-
-// learn takes in a peer's word on its cells; one that it does not name any more it has
-// given up.
-func (c *cells) learn(state *peerpb.PeerState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.forgetLocked(state.GetId())
-	for _, l := range state.GetCells() {
-		if h, ok := c.heard[l.GetCell()]; !ok || l.GetEpoch() >= h.load.GetEpoch() {
-			c.heard[l.GetCell()] = heard{entry: state.GetId(), at: time.Now(), load: l}
-		}
-	}
-}
-
-// forget drops a peer's word on its cells.
-func (c *cells) forget(peer string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.forgetLocked(peer)
-}
-
-func (c *cells) forgetLocked(peer string) {
-	maps.DeleteFunc(c.heard, func(_ string, h heard) bool { return h.entry == peer })
-}
-
-// loads returns the headroom of the cells that this entry owns.
-func (c *cells) loads() []*peerpb.CellLoad {
-	c.mu.Lock()
-	fresh := time.Since(c.cachedAt) < loadsFresh
-	cached := c.cached
-	owners := make([]*cell.Owner, 0, len(c.owners))
-	for _, o := range c.owners {
-		owners = append(owners, o)
-	}
-	c.mu.Unlock()
-	if fresh {
-		return cached
-	}
-	loads := make([]*peerpb.CellLoad, 0, len(owners))
-	for _, o := range owners {
-		loads = append(loads, o.Load())
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cached, c.cachedAt = loads, time.Now()
-	return loads
-}
-
-// others calls f with the load of each cell but one.
-func (c *cells) others(but string, f func(*peerpb.CellLoad)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, l := range c.cached {
-		if l.GetCell() != but {
-			f(l)
-		}
-	}
-	for name, h := range c.heard {
-		if name != but && c.owners[name] == nil && time.Since(h.at) < gossipFresh {
-			f(h.load)
-		}
-	}
-}
-
-func (c *cells) elsewhere(but, team string) (sum driver.Resources) {
-	c.others(but, func(l *peerpb.CellLoad) {
-		for _, t := range l.GetTeams() {
-			if t.GetTeam() == team {
-				sum = sum.Plus(driver.ResourcesOf(t.GetReserved()))
-			}
-		}
-	})
-	return sum
-}
-
-func (c *cells) largestElsewhere(but string) (largest driver.Resources) {
-	c.others(but, func(l *peerpb.CellLoad) { largest = largest.Max(driver.ResourcesOf(l.GetLargest())) })
-	return largest
-}
-
-// Start implements driver.Agents.
-func (e *Entry) Start(ctx context.Context, worker string, s *peerpb.StartTask) (*peerpb.TaskReply, error) {
-	return e.command(ctx, worker, peer.StartFrame(s))
-}
-
-// Stop implements driver.Agents.
-func (e *Entry) Stop(ctx context.Context, worker string, s *peerpb.StopTask) (*peerpb.TaskReply, error) {
-	return e.command(ctx, worker, peer.StopFrame(s))
-}
-
-var errNoSession = errors.New("entry: no session to the agent")
-
-func (e *Entry) command(ctx context.Context, worker string, frame *peerpb.Frame) (*peerpb.TaskReply, error) {
-	var session *peer.Session
-	_ = e.loop.Do(func() {
-		if a := e.control.agents[worker]; a != nil {
-			session = a.session
-		}
-	})
-	if session == nil {
-		return nil, errNoSession
-	}
-	f, err := session.Call(ctx, frame)
-	if err != nil {
-		return nil, err
-	}
-	if f.GetTaskReply() == nil {
-		return nil, peer.ErrProtocol
-	}
-	return f.GetTaskReply(), nil
-}
--- /dev/null
+++ b/internal/entry/commands.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jasminebay/jasminebay/internal/peer"
+	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+)
+
+// Start implements driver.Agents.
+func (e *Entry) Start(ctx context.Context, worker string, s *peerpb.StartTask) (*peerpb.TaskReply, error) {
+	return e.command(ctx, worker, peer.StartFrame(s))
+}
+
+// Stop implements driver.Agents.
+func (e *Entry) Stop(ctx context.Context, worker string, s *peerpb.StopTask) (*peerpb.TaskReply, error) {
+	return e.command(ctx, worker, peer.StopFrame(s))
+}
+
+var errNoSession = errors.New("entry: no session to the agent")
+
+func (e *Entry) command(ctx context.Context, worker string, frame *peerpb.Frame) (*peerpb.TaskReply, error) {
+	var session *peer.Session
+	_ = e.loop.Do(func() {
+		if a := e.control.agents[worker]; a != nil {
+			session = a.session
+		}
+	})
+	if session == nil {
+		return nil, errNoSession
+	}
+	f, err := session.Call(ctx, frame)
+	if err != nil {
+		return nil, err
+	}
+	if f.GetTaskReply() == nil {
+		return nil, peer.ErrProtocol
+	}
+	return f.GetTaskReply(), nil
+}
