Answer at once that a job of an unknown cell does not exist

Cause: since calls on jobs are repeated while a cell changes hands, a question for a job whose id names no cell waited 5 s and was told 503, as if its owner were on the way. Found by reading the change as a newcomer would.

Ruled out: parsing more of the id (its form is the owner's to decide).

TestUnknownCell: before, 503 after 5 s for three wrong ids; after, 404 at once. A cell that the document names is still waited for.

--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -95,6 +95,27 @@
 	return name
 }
 
+// exists reports whether the document names the cell or somebody is known to own it.
+func (c *cells) exists(name string) bool {
+	if c.owner(name) != nil || c.ownedElsewhere(name) {
+		return true
+	}
+	d := c.e.options.Holder.Document()
+	if d == nil {
+		// What there is can't be told yet.
+		return true
+	}
+	for _, dc := range d.DataCentres {
+		for n := range max(dc.Cells, 1) {
+			if cellName(dc.Name, uint64(n)) == name {
+				return true
+			}
+		}
+	}
+	// A data centre that the document does not name has one cell.
+	return name == cellName(c.e.options.DataCentre, 0)
+}
+
 // owner returns the owner of a cell if it is in this process, or nil.
 func (c *cells) owner(name string) *cell.Owner {
 	c.mu.Lock()
--- a/internal/entry/cells_test.go
+++ b/internal/entry/cells_test.go
@@ -173,3 +173,23 @@
 		t.Fatal(err)
 	}
 }
+
+// TestUnknownCell asks for jobs whose cell the document does not name.
+func TestUnknownCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{ID: "entry-1", DataCentre: "zuerich-a", Holder: exampleHolder(t), Log: slog.New(slog.DiscardHandler)})
+		go e.loop.Run(t.Context())
+		for cell, want := range map[string]int32{
+			"": http.StatusNotFound, "nowhere.0": http.StatusNotFound, "zuerich-a.7": http.StatusNotFound,
+			"zuerich-a.0": http.StatusServiceUnavailable,
+		} {
+			ctx, cancel := context.WithTimeout(t.Context(), jobTimeout)
+			began := time.Now()
+			reply := e.callJob(ctx, &peerpb.JobCall{Operation: operationGet, Cell: cell})
+			cancel()
+			if took := time.Since(began); reply.GetStatus() != want || want == http.StatusNotFound && took > 0 {
+				t.Errorf("cell %q: %d after %v, want %d", cell, reply.GetStatus(), took, want)
+			}
+		}
+	})
+}
--- a/internal/entry/jobcall.go
+++ b/internal/entry/jobcall.go
@@ -22,6 +22,9 @@
 // callJob runs an operation at the owner of the job's cell. While the cell changes hands it
 // runs the operation again, until ctx ends; one that took effect has no second effect.
 func (e *Entry) callJob(ctx context.Context, call *peerpb.JobCall) *peerpb.JobReply {
+	if !e.cells.exists(call.GetCell()) {
+		return noJobReply()
+	}
 	var doubt *peerpb.JobReply
 	for {
 		reply := e.callOwner(ctx, call)
@@ -54,6 +57,10 @@
 	return f.GetJobReply()
 }
 
+func noJobReply() *peerpb.JobReply {
+	return problemReply(problem.Problem{Type: "no-job", Status: http.StatusNotFound, Detail: "no such job or task"})
+}
+
 // movedReply tells that nothing was done and that the cell's next owner may do it.
 func movedReply(kind, detail string) *peerpb.JobReply {
 	reply := problemReply(problem.Problem{Type: kind, Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: detail})
@@ -125,7 +132,7 @@
 	case errors.Is(err, cell.ErrGivenUp):
 		return movedReply("not-owner", "this entry does not own the cell any more")
 	case errors.Is(err, cell.ErrNoJob):
-		return problemReply(problem.Problem{Type: "no-job", Status: http.StatusNotFound, Detail: "no such job or task"})
+		return noJobReply()
 	case errors.Is(err, cell.ErrSettled):
 		return problemReply(problem.Problem{Type: "settled", Status: http.StatusConflict, Detail: "the fate of the task is not open"})
 	case errors.Is(err, cell.ErrInDoubt):
