--- a/internal/scenario/probes_test.go
+++ b/internal/scenario/probes_test.go
@@ -91,7 +91,7 @@
 func cmdRuns(s *system, a arguments) (string, error) {
 	runs := s.machines[a.word(0)].upstream.Record().Runs
 	newest := time.Time{}
-	open := 0
+	open, partial := 0, 0
 	for _, r := range runs {
 		if r.Began.After(newest) {
 			newest = r.Began
@@ -99,11 +99,14 @@
 		if r.Ended.IsZero() {
 			open++
 		}
+		if r.Partial {
+			partial++
+		}
 	}
 	if quiet := a.duration("quiet", 0); quiet > 0 && time.Since(newest) < quiet {
 		return "", fmt.Errorf("a request began %v ago", time.Since(newest))
 	}
-	return fmt.Sprintf("runs=%d open=%d\n", len(runs), open), nil
+	return fmt.Sprintf("runs=%d open=%d partial=%d\n", len(runs), open, partial), nil
 }
 
 // cmdRaw sends bytes to a port of an entry and prints what comes back: raw callers|peers ENTRY TEXT
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -60,6 +60,8 @@
 	// Ended is zero while the request runs.
 	Ended time.Time `json:"ended"`
 	Body  string    `json:"body"`
+	// Partial tells that the answer broke off after its first byte.
+	Partial bool `json:"partial"`
 }
 
 // Record is what the upstream has seen.
@@ -211,26 +213,51 @@
 	case <-gone:
 		return
 	}
-	if n, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil {
-		body = bytes.Repeat([]byte{'x'}, n)
+	size, content := int64(len(body)), io.Reader(bytes.NewReader(body))
+	if n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64); err == nil {
+		size, content = n, filler{}
 	}
-	s.answer(w, r, body, faults.CutAfter)
+	sent := answer(w, r, content, size, int64(faults.CutAfter))
+	s.note(index, sent > 0 && sent < size)
+	if sent < size {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// filler is an endless text.
+type filler struct{}
+
+func (filler) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte, cut int) {
+// answer writes size bytes of content, or cut if that is less and not 0, and returns how
+// many were written. It holds no more than a buffer, so that it ends when its caller goes.
+func answer(w http.ResponseWriter, r *http.Request, content io.Reader, size, cut int64) int64 {
 	w.Header().Set("Content-Type", "application/octet-stream")
-	if r.URL.Query().Get("chunked") == "" {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	chunked := r.URL.Query().Get("chunked") != ""
+	if !chunked {
+		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
 	}
-	if cut > 0 && cut < len(body) {
-		_, _ = w.Write(body[:cut])
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
+	most := size
+	if cut > 0 && cut < size {
+		most = cut
 	}
-	_, _ = w.Write(body)
-	if r.URL.Query().Get("chunked") != "" {
+	sent, _ := io.CopyN(w, content, most)
+	if chunked || sent < size {
 		_ = http.NewResponseController(w).Flush()
 	}
+	return sent
+}
+
+// note records whether the answer to a run broke off after its first byte.
+func (s *Server) note(index int, partial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Runs[index].Partial = partial
 }
 
 func (s *Server) begin(id, kind string, body []byte) (int, Faults) {
