--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,7 +61,7 @@
 	c.named = map[string]named{}
 }
 
-func cellName(dataCentre string, n uint64) string { return fmt.Sprintf("%s.%d", dataCentre, n) }
+func cellName(dataCentre string, n int) string { return dataCentre + "." + strconv.Itoa(n) }
 
 // dataCentreOf returns the data centre of a cell.
 func dataCentreOf(name string) string {
@@ -87,7 +87,7 @@
 func cellOfWorker(dataCentre, worker string, cells int) (name string) {
 	var highest uint64
 	for n := range cells {
-		cell := cellName(dataCentre, uint64(n))
+		cell := cellName(dataCentre, n)
 		if hash := xxhash.Sum64String(worker + "\x00" + cell); name == "" || hash > highest {
 			name, highest = cell, hash
 		}
@@ -106,8 +106,8 @@
 		return true
 	}
 	for _, dc := range d.DataCentres {
-		for n := range max(dc.Cells, 1) {
-			if cellName(dc.Name, uint64(n)) == name {
+		for n := range dc.Cells {
+			if cellName(dc.Name, n) == name {
 				return true
 			}
 		}
@@ -156,7 +156,7 @@
 			continue
 		}
 		for n := range dc.Cells {
-			names = append(names, cellName(dc.Name, uint64(n)))
+			names = append(names, cellName(dc.Name, n))
 		}
 	}
 	if len(names) == 0 || !slices.ContainsFunc(names, func(n string) bool { return dataCentreOf(n) == c.e.options.DataCentre }) {
--- a/internal/entry/cells_test.go
+++ b/internal/entry/cells_test.go
@@ -150,7 +150,7 @@
 				continue
 			}
 			moved++
-			if after != cellName("a", uint64(cells)) {
+			if after != cellName("a", cells) {
 				t.Fatalf("%s moved from %s to %s", worker, before, after)
 			}
 		}
