Probe an ejected upstream once, and leave callers who go out of its health

A request that had chosen the upstream while its probe was due, but had not yet begun, became a second probe: begin did not look at the time again, and between the end of a failed probe and the longer ejection that follows it the upstream was open. Any request that had begun before the ejection also ended the probe of another. Now begin decides under the same time, a failed probe ejects in the same step, only the probe itself ends the probe, and two upstreams that fail at once can't both take the last place in the share of ejected ones.

Found beside it: a caller who went away counted as a failure of the upstream, so that a burst of cancellations set healthy ones aside. TestHealth has the cases of the race; they did not hold in the old code, whose begin took no time.

--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -18,6 +20,31 @@
 	slowStartLeft = 0.1
 )
 
+// verdict is what the end of a request says of its upstream's health.
+type verdict int
+
+const (
+	verdictNone verdict = iota
+	verdictSucceeded
+	verdictFailed
+)
+
+// judge returns what the end of an attempt under ctx says of the upstream.
+func judge(ctx context.Context, reply *Reply) verdict {
+	switch {
+	case reply.Outcome == OutcomeNotRun, reply.Outcome == OutcomeRan:
+		return verdictNone
+	case reply.Outcome == OutcomeAnswered && !retryable(reply.Head):
+		return verdictSucceeded
+	case reply.Outcome != OutcomeAnswered && callerLeft(ctx):
+		return verdictNone
+	}
+	return verdictFailed
+}
+
+// callerLeft reports whether the caller has gone, as opposed to having run out of time.
+func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 // health tells whether an upstream answers; it is safe for concurrent use.
 type health struct {
 	mu        sync.Mutex
@@ -35,22 +62,23 @@
 func (h *health) available(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.open(now)
+}
+
+func (h *health) open(now time.Time) bool {
 	return h.until.IsZero() || now.After(h.until) && !h.probing
 }
 
-// begin notes that a request is to be sent, which is a probe if the upstream is ejected.
-// It reports false if there is a probe already.
-func (h *health) begin() bool {
+// begin notes that a request is to be sent and reports whether it may be, which can have
+// changed since available was asked, and whether it is the probe of an ejected upstream.
+func (h *health) begin(now time.Time) (allowed, probe bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.until.IsZero() {
-		return true
+	if !h.open(now) {
+		return false, false
 	}
-	if h.probing {
-		return false
-	}
-	h.probing = true
-	return true
+	h.probing = !h.until.IsZero()
+	return true, h.probing
 }
 
 // ejected reports whether the upstream is set aside.
@@ -71,36 +99,44 @@
 	return slowStartLeft + (1-slowStartLeft)*float64(since)/float64(slowStart)
 }
 
-// skipped notes that a request was refused, which says nothing of the upstream's health.
-func (h *health) skipped() {
+// skipped notes that a request ended in a way that says nothing of the upstream's health.
+func (h *health) skipped(probe bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.probing = false
+	if probe {
+		h.probing = false
+	}
 }
 
-// ended takes in how a request ended. It reports whether the upstream should be set
-// aside, which the caller decides with eject.
-func (h *health) ended(now time.Time, ok bool) (eject bool) {
+// ended takes in how a request ended. It returns for how long the upstream is set aside
+// because of that, which is 0 if it is not or mayEject is false.
+func (h *health) ended(now time.Time, ok, probe, mayEject bool) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	probed := h.probing
-	h.probing = false
+	if probe {
+		h.probing = false
+	}
 	h.results = append(h.results, ok)
 	if len(h.results) > ejectWindow {
 		h.results = h.results[1:]
 	}
 	if ok {
-		h.run = 0
-		if probed {
-			h.until, h.back, h.results = time.Time{}, now, nil
-		}
-		return false
+		h.succeeded(now, probe)
+		return 0
 	}
 	h.run++
-	if probed {
-		return true
+	failing := h.until.IsZero() && (h.run >= ejectRun || h.mostlyFails())
+	if mayEject && (probe || failing) {
+		return h.eject(now)
+	}
+	return 0
+}
+
+func (h *health) succeeded(now time.Time, probe bool) {
+	h.run = 0
+	if probe {
+		h.until, h.back, h.results = time.Time{}, now, nil
 	}
-	return h.until.IsZero() && (h.run >= ejectRun || h.mostlyFails())
 }
 
 func (h *health) mostlyFails() bool {
@@ -115,8 +151,6 @@
 
 // eject sets the upstream aside, longer each time.
 func (h *health) eject(now time.Time) time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	delay := min(ejectMin<<min(h.ejections, 8), ejectMax)
 	h.ejections++
 	h.until = now.Add(delay)
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -61,7 +61,7 @@
 	Partial bool
 
 	stream *peer.Stream
-	finish func(ok bool)
+	finish func(verdict)
 	// fresh is the word of the agent that came with the answer, or nil.
 	fresh *peerpb.UpstreamState
 }
@@ -71,30 +71,36 @@
 func (r *Reply) Next() ([]byte, error) {
 	f, err := r.stream.Receive()
 	if err != nil {
+		r.end(verdictFailed)
 		return nil, err
 	}
 	if c := f.GetChunk(); c != nil {
 		return c.GetData(), nil
 	}
 	if e := f.GetEnd(); e != nil && e.GetComplete() {
-		r.finish(true)
-		r.finish = nil
+		r.end(verdictSucceeded)
 		return nil, nil
 	}
+	r.end(verdictFailed)
 	return nil, peer.ErrProtocol
 }
 
 // Close gives back what the reply holds.
 func (r *Reply) Close() {
-	if r.finish != nil {
-		r.finish(false)
-		r.finish = nil
-	}
+	r.end(verdictNone)
 	if r.stream != nil {
 		r.stream.Close()
 	}
 }
 
+// end tells once what the whole answer says of the upstream's health.
+func (r *Reply) end(v verdict) {
+	if r.finish != nil {
+		r.finish(v)
+		r.finish = nil
+	}
+}
+
 func notRun(reason peerpb.Reason, detail string, retryAfter time.Duration) *Reply {
 	return &Reply{Outcome: OutcomeNotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter}
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -16,38 +16,62 @@
 	now := time.Unix(1_000_000, 0)
 	h := &health{}
 	for range ejectRun - 1 {
-		is.True(!h.ended(now, false))
+		is.Equal(h.ended(now, false, false, true), time.Duration(0))
 	}
-	is.True(h.ended(now, false)) // the fifth failure in a row
-	is.Equal(h.eject(now), ejectMin)
+	is.Equal(h.ended(now, false, false, true), ejectMin) // the fifth failure in a row
 	is.True(!h.available(now))
 	now = now.Add(ejectMin + time.Millisecond)
 	is.True(h.available(now))
-	is.True(h.begin())
-	is.True(!h.begin())        // one probe at a time
-	is.True(!h.available(now)) // nobody else while it is under way
-	is.True(h.ended(now, false))
-	is.Equal(h.eject(now), 2*ejectMin) // longer each time
+	is.Equal(begin(h, now), "probe")
+	is.Equal(begin(h, now), "refused") // one probe at a time
+	is.True(!h.available(now))         // nobody else while it is under way
+	h.skipped(false)
+	h.ended(now, true, false, true)
+	is.Equal(begin(h, now), "refused")                    // what began before the ejection ends no probe
+	is.Equal(h.ended(now, false, true, true), 2*ejectMin) // longer each time
+	is.Equal(begin(h, now), "refused")                    // for one that chose it while the probe was under way, too
 	now = now.Add(2*ejectMin + time.Millisecond)
-	is.True(h.begin())
-	is.True(!h.ended(now, true))
+	is.Equal(begin(h, now), "probe")
+	is.Equal(h.ended(now, true, true, true), time.Duration(0))
 	is.True(h.available(now))
+	is.Equal(begin(h, now), "allowed")
 	is.True(h.weight(now) < 0.2) // comes back slowly
 	is.Equal(h.weight(now.Add(slowStart)), 1.0)
 }
 
+// begin tells what comes of a request that is to be sent.
+func begin(h *health, now time.Time) string {
+	switch allowed, probe := h.begin(now); {
+	case probe:
+		return "probe"
+	case allowed:
+		return "allowed"
+	}
+	return "refused"
+}
+
+func TestHealthWithoutRoomToEject(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	h := &health{}
+	for range 3 * ejectWindow {
+		is.Equal(h.ended(now, false, false, false), time.Duration(0))
+	}
+	is.True(h.available(now))
+}
+
 func TestHealthOfOneThatMostlyFails(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
 	h := &health{}
 	ejected := false
 	for i := range 3 * ejectWindow {
-		ejected = ejected || h.ended(now, i%3 == 0)
+		ejected = h.ended(now, i%3 == 0, false, true) > 0 || ejected
 	}
 	is.True(ejected)
 	h = &health{}
 	for i := range 3 * ejectWindow {
-		is.True(!h.ended(now, i%3 != 0)) // a third of failures is not enough
+		is.Equal(h.ended(now, i%3 != 0, false, true), time.Duration(0)) // a third of failures is not enough
 	}
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -52,6 +52,9 @@
 	routing document.Routing
 	picker  driver.Picker
 	budget  budget
+	// ejecting is held while an upstream's failure is judged, so that two that fail at
+	// once do not both take the last place in the share of ejected ones.
+	ejecting sync.Mutex
 }
 
 // New returns a Router with an empty table.
@@ -108,9 +111,9 @@
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	reply := t.run(ctx)
 	finish := reply.finish
-	reply.finish = func(ok bool) {
+	reply.finish = func(v verdict) {
 		if finish != nil {
-			finish(ok)
+			finish(v)
 		}
 		cancel()
 		r.options.Metrics.RequestSeconds.WithLabelValues(q.Service, q.Kind).Observe(time.Since(began).Seconds())
@@ -203,8 +206,9 @@
 		return t.last
 	}
 	t.tried[target] = true
-	if !target.health.begin() {
-		// Another request probes the upstream at this moment.
+	allowed, probe := target.health.begin(time.Now())
+	if !allowed {
+		// Another request probes the upstream or did so just now.
 		return t.attempt(ctx)
 	}
 	id := t.q.ID
@@ -213,13 +217,13 @@
 	}
 	if t.q.fenced() {
 		if reply := t.fence(ctx, target); reply != nil {
-			target.health.skipped()
+			target.health.skipped(probe)
 			return reply
 		}
 		id = t.claim.RequestID()
 	}
 	t.log(target.agent, reason, id)
-	return t.send(ctx, target, id)
+	return t.send(ctx, target, id, probe)
 }
 
 // choose picks one of the local targets, or returns nil. A retry prefers those that have
@@ -306,7 +310,7 @@
 }
 
 // send gives the request to the agent of a target and takes in how it went.
-func (t *trip) send(ctx context.Context, target *Target, id string) *Reply {
+func (t *trip) send(ctx context.Context, target *Target, id string, probe bool) *Reply {
 	t.options.Metrics.Attempts.WithLabelValues(t.q.Service, "agent").Inc()
 	head := t.head(id)
 	head.Incarnation = target.incarnation
@@ -315,31 +319,45 @@
 	reply := send(ctx, target.session, head, t.q.Body)
 	if !reply.Partial {
 		target.inFlight.Add(-1)
-		t.learn(target, reply, reply.Outcome == OutcomeAnswered && !retryable(reply.Head))
+		t.learn(target, reply, judge(ctx, reply), probe)
 		return reply
 	}
-	reply.finish = func(ok bool) {
+	reply.finish = func(v verdict) {
 		target.inFlight.Add(-1)
-		t.learn(target, reply, ok)
+		if v == verdictFailed && callerLeft(ctx) {
+			v = verdictNone
+		}
+		t.learn(target, reply, v, probe)
 	}
 	return reply
 }
 
 // learn takes in how an attempt ended.
-func (t *trip) learn(target *Target, reply *Reply, ok bool) {
+func (t *trip) learn(target *Target, reply *Reply, v verdict, probe bool) {
 	now := time.Now()
 	if reply.fresh != nil {
 		target.Observe(now, reply.fresh, false)
 	}
-	if reply.Outcome == OutcomeNotRun || reply.Outcome == OutcomeRan {
-		target.health.skipped()
-		return
+	switch v {
+	case verdictSucceeded:
+		target.health.ended(now, true, probe, false)
+	case verdictFailed:
+		t.failed(target, now, probe)
+	default:
+		target.health.skipped(probe)
 	}
-	if target.health.ended(now, ok) && t.mayEject(target) {
-		delay := target.health.eject(now)
-		t.options.Metrics.Ejections.WithLabelValues(t.q.Service).Inc()
-		t.options.Log.Warn("upstream set aside: it fails", "service", t.q.Service, "agent", target.agent, "seconds", delay.Seconds())
+}
+
+// failed takes in that an attempt failed and sets the target aside if that is called for.
+func (t *trip) failed(target *Target, now time.Time, probe bool) {
+	t.service.ejecting.Lock()
+	defer t.service.ejecting.Unlock()
+	delay := target.health.ended(now, false, probe, t.mayEject(target))
+	if delay == 0 {
+		return
 	}
+	t.options.Metrics.Ejections.WithLabelValues(t.q.Service).Inc()
+	t.options.Log.Warn("upstream set aside: it fails", "service", t.q.Service, "agent", target.agent, "seconds", delay.Seconds())
 }
 
 // mayEject reports whether the share of ejected upstreams leaves room for one more.
