Throttle a task from its start, and free what an earlier agent throttled

A task that the model expects to harm was started at full speed and throttled by the next heartbeat, up to half a second later. Two faults beside it: a throttle that the worker did not take was never sent again, and an attempt that a restarted agent had found throttled stayed so for good, as the agent took it for a free one.

Now a start says that the attempt is throttled, and the agent keeps the share that each attempt was last given, unknown for those that it found. testdata/throttle: the last two cases could not pass before, as nothing wrote the share again.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"strings"
@@ -22,6 +23,10 @@
 type memoryWorker struct {
 	mu    sync.Mutex
 	tasks map[string]driver.TaskStatus
+	// shares are the shares of processors that the attempts were last given.
+	shares map[string]float64
+	// failures is how many calls of Throttle are to fail.
+	failures int
 }
 
 func (w *memoryWorker) Status(context.Context) (driver.WorkerStatus, error) {
@@ -58,9 +63,28 @@
 func (w *memoryWorker) Checkpoint(context.Context, string, uint32) (string, error) {
 	return "saved", nil
 }
-func (w *memoryWorker) Renew(context.Context, time.Time) error                  { return nil }
-func (w *memoryWorker) Remove(context.Context, string, uint32) error            { return nil }
-func (w *memoryWorker) Throttle(context.Context, string, uint32, float64) error { return nil }
+func (w *memoryWorker) Renew(context.Context, time.Time) error       { return nil }
+func (w *memoryWorker) Remove(context.Context, string, uint32) error { return nil }
+
+func (w *memoryWorker) Throttle(_ context.Context, task string, attempt uint32, share float64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failures > 0 {
+		w.failures--
+		return driver.ErrUnavailable
+	}
+	w.shares[attemptKey(task, attempt)] = share
+	return nil
+}
+
+// hold makes the worker run an attempt that an earlier agent has started and throttled.
+func (w *memoryWorker) hold(task string, attempt uint32) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	key := attemptKey(task, attempt)
+	w.tasks[key] = driver.TaskStatus{Task: task, Attempt: attempt, Phase: driver.TaskPhaseRunning}
+	w.shares[key] = shareThrottled
+}
 
 // owner plays the entry that owns the worker's cell.
 type owner struct {
@@ -68,6 +92,7 @@
 	update  *peerpb.Update
 	session *peer.Session
 	known   chan struct{}
+	worker  *memoryWorker
 }
 
 func (o *owner) serve(l net.Listener) {
@@ -88,7 +113,7 @@
 			return
 		}
 		o.mu.Lock()
-		u := &peerpb.Update{Sequence: f.GetReport().GetSequence(), Cell: o.update.GetCell(), Epoch: o.update.GetEpoch(), Term: o.update.GetTerm(), GrantMillis: o.update.GetGrantMillis()}
+		u := &peerpb.Update{Sequence: f.GetReport().GetSequence(), Cell: o.update.GetCell(), Epoch: o.update.GetEpoch(), Term: o.update.GetTerm(), GrantMillis: o.update.GetGrantMillis(), Throttled: o.update.GetThrottled()}
 		o.mu.Unlock()
 		if control.Send(peer.UpdateFrame(u)) != nil {
 			return
@@ -105,11 +130,12 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = l.Close() }()
-		o := &owner{update: &peerpb.Update{}, known: make(chan struct{})}
+		w := &memoryWorker{tasks: map[string]driver.TaskStatus{}, shares: map[string]float64{}}
+		o := &owner{update: &peerpb.Update{}, known: make(chan struct{}), worker: w}
 		go o.serve(l)
 		a := New(Options{
 			ID: "worker", System: "test", DataCentre: "dc", Entries: []string{l.Addr().String()}, Heartbeat: 40 * time.Millisecond,
-			Worker: &memoryWorker{tasks: map[string]driver.TaskStatus{}}, Upstream: client.New(), Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(),
+			Worker: w, Upstream: client.New(), Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(),
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -145,20 +171,38 @@
 	case "grant":
 		o.mu.Lock()
 		o.update = &peerpb.Update{Cell: cell, Epoch: uint64(epoch), Term: uint64(term), GrantMillis: int64(grant)}
+		if d.HasArg("throttled") {
+			var throttled string
+			d.ScanArgs(t, "throttled", &throttled)
+			o.update.Throttled = []*peerpb.TaskKey{{Task: throttled, Attempt: 1}}
+		}
 		o.mu.Unlock()
 		// Several heartbeats carry the grant, and a short one ends.
 		time.Sleep(400 * time.Millisecond)
 		return ""
+	case "hold":
+		o.worker.hold(task, uint32(attempt))
+		time.Sleep(100 * time.Millisecond)
+		return ""
 	case "start":
 		return o.call(t, peer.StartFrame(&peerpb.StartTask{
 			Cell: cell, Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt),
-			Resources: driver.NewResources(int64(cpu), 1, 0).Message(),
+			Resources: driver.NewResources(int64(cpu), 1, 0).Message(), Throttled: d.HasArg("throttled"),
 		}))
 	case "stop":
 		return o.call(t, peer.StopFrame(&peerpb.StopTask{
 			Cell: cell, Epoch: uint64(epoch), Term: uint64(term), Task: task, Attempt: uint32(attempt), Checkpoint: d.HasArg("checkpoint"),
 		}))
 	}
+	o.worker.mu.Lock()
+	defer o.worker.mu.Unlock()
+	switch d.Cmd {
+	case "share":
+		return fmt.Sprintln(o.worker.shares[attemptKey(task, uint32(attempt))])
+	case "fail-throttles":
+		d.ScanArgs(t, "count", &o.worker.failures)
+		return ""
+	}
 	t.Fatalf("unknown command %s", d.Cmd)
 	return ""
 }
--- a/internal/agent/poll.go
+++ b/internal/agent/poll.go
@@ -99,7 +99,7 @@
 	c := &a.control
 	t := &attempt{
 		task: s.Task, number: s.Attempt, class: s.Class, reserved: s.Reserved,
-		phase: peerpb.Phase_PHASE_RUNNING, checkpoint: s.Checkpoint,
+		phase: peerpb.Phase_PHASE_RUNNING, checkpoint: s.Checkpoint, share: shareUnknown,
 	}
 	c.attempts[key] = t
 	if s.Phase == driver.TaskPhaseRunning {
@@ -158,19 +158,29 @@
 	var changed []attempt
 	_ = a.loop.Do(func() {
 		for key, t := range a.control.attempts {
-			if t.phase == peerpb.Phase_PHASE_RUNNING && t.throttled != listed[key] {
-				t.throttled = listed[key]
+			share := shareOf(listed[key])
+			if t.phase == peerpb.Phase_PHASE_RUNNING && !t.confirmed.IsZero() && t.share != share {
+				t.share = share
 				changed = append(changed, *t)
 			}
 		}
 	})
 	for _, t := range changed {
-		share := fullShare
-		if t.throttled {
-			share = throttledShare
-		}
-		if err := a.options.Worker.Throttle(ctx, t.task, t.number, share); err != nil {
-			a.log.Warn("task was not throttled", "task", t.task, "error", err.Error())
-		}
+		a.setShare(ctx, t.task, t.number, t.share)
 	}
 }
+
+// setShare gives an attempt a share of its processors. One that the worker did not take is
+// given again with the owner's next update.
+func (a *Agent) setShare(ctx context.Context, task string, number uint32, share float64) {
+	err := a.options.Worker.Throttle(ctx, task, number, share)
+	if err == nil {
+		return
+	}
+	a.log.Warn("task was not throttled", "task", task, "share", share, "error", err.Error())
+	_ = a.loop.Do(func() {
+		if t := a.control.attempts[attemptKey(task, number)]; t != nil {
+			t.share = shareUnknown
+		}
+	})
+}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -15,10 +15,23 @@
 	// tombstoneRetention outlasts any command that may still be on its way.
 	tombstoneRetention = 15 * time.Minute
 	workerRetryDelay   = 100 * time.Millisecond
-	throttledShare     = 0.25
-	fullShare          = 1.0
 )
 
+// The shares of its processors that an attempt is given.
+const (
+	// shareUnknown is that of an attempt which an earlier process of this agent has started.
+	shareUnknown   = 0.0
+	shareThrottled = 0.25
+	shareFull      = 1.0
+)
+
+func shareOf(throttled bool) float64 {
+	if throttled {
+		return shareThrottled
+	}
+	return shareFull
+}
+
 // attempt is one attempt of a task on this worker.
 type attempt struct {
 	task       string
@@ -31,7 +44,8 @@
 	used       driver.Resources
 	// confirmed is when the worker was first known to hold the attempt; zero before.
 	confirmed time.Time
-	throttled bool
+	// share is the share of its processors that the attempt was last given.
+	share float64
 	// leaseUntil is when the worker stops the attempt by itself.
 	leaseUntil time.Time
 	// exact tells that the attempt is being stopped, or was, right at its checkpoint.
@@ -85,7 +99,7 @@
 	}
 	c.attempts[key] = &attempt{
 		task: s.GetTask(), number: s.GetAttempt(), class: s.GetClass(), reserved: need,
-		phase: peerpb.Phase_PHASE_RUNNING, checkpoint: s.GetCheckpoint(),
+		phase: peerpb.Phase_PHASE_RUNNING, checkpoint: s.GetCheckpoint(), share: shareOf(s.GetThrottled()),
 	}
 	return nil, c.grant.until
 }
@@ -124,6 +138,9 @@
 		err := a.options.Worker.Run(ctx, spec)
 		switch {
 		case err == nil:
+			if s.GetThrottled() {
+				a.setShare(ctx, s.GetTask(), s.GetAttempt(), shareThrottled)
+			}
 			return a.started(key)
 		case errors.Is(err, driver.ErrWorkerRefused):
 			a.log.Warn("worker refused the task", "task", s.GetTask(), "error", err.Error())
--- a/internal/cell/guard.go
+++ b/internal/cell/guard.go
@@ -151,6 +151,18 @@
 	}
 }
 
+// throttleNew throttles a task that is about to start if the model expects the services
+// to be too slow otherwise.
+func (o *Owner) throttleNew(w *worker, a *assignment) {
+	d := o.options.Document()
+	if d == nil || !d.Guards.Enabled {
+		return
+	}
+	if expected := o.expected(w); expected >= d.Guards.ThrottleAt {
+		o.throttle(w, a, expected, "expected from the start")
+	}
+}
+
 // throttleMeasured throttles one task because the services are too slow all the same.
 func (o *Owner) throttleMeasured(w *worker, pressure float64, now time.Time) {
 	if now.Before(w.guardUntil) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -261,6 +261,7 @@
 	}
 	r.placed++
 	w.assign(a)
+	o.throttleNew(w, a)
 	o.addUse(g.job.GetTeam(), a.reserved)
 	delete(r.shares, g.job.GetTeam())
 	r.seats[c.seat].Classes[a.class]++
@@ -288,7 +289,7 @@
 	command := &peerpb.StartTask{
 		Cell: o.options.Cell, Epoch: o.epoch, Term: w.term, Task: a.task, Attempt: a.attempt,
 		Resources: a.reserved.Message(), Checkpoint: a.checkpoint, Class: a.class,
-		RunMillis: g.task.GetRunMillis(), Idempotent: g.task.GetIdempotent(),
+		RunMillis: g.task.GetRunMillis(), Idempotent: g.task.GetIdempotent(), Throttled: w.throttled[a.task],
 	}
 	name := w.Name
 	o.call(func(ctx context.Context) func() {
