Learn interference from mean latencies with a stated uncertainty

The model learned from the p99 of 5 s on one worker, some 90 samples: the largest of them, which varies by a fifth by itself. The undisturbed latency was the least p99 ever seen, a third too low, and whatever always ran was blamed for the rest. And what was dared with an unseen class grew with every report, 66 a second over all workers, so that a class counted as known within a second, seconds before its harm could show in a report.

Now the mean latency is learned from, per kind, with the number of samples behind it; undisturbed latency, each worker's own factor and each class's harm are estimated together by a Kalman filter that keeps the variances, and the margin on a class is its standard deviation. A report counts for what it describes that the one before did not. The processors beside it are averaged over the same 5 s.

Ruled out: the noise of a disturbed machine (the load takes 0.9 of six processors).

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -61,10 +61,14 @@
 			if u.service != k.GetService() {
 				continue
 			}
-			p99, count := u.window.quantile(now, k.GetKind())
-			if count >= windowMinimum {
-				pressures = append(pressures, &peerpb.Pressure{Kind: k.GetKind(), P99Micros: p99.Microseconds(), TargetMicros: k.GetTargetMicros()})
+			s := u.window.summarize(now, k.GetKind())
+			if s.count < windowMinimum {
+				continue
 			}
+			pressures = append(pressures, &peerpb.Pressure{
+				Kind: k.GetKind(), P99Micros: s.p99.Microseconds(), MeanMicros: s.mean.Microseconds(),
+				Samples: int32(s.count), TargetMicros: k.GetTargetMicros(),
+			})
 		}
 	}
 	return pressures
--- a/internal/agent/window.go
+++ b/internal/agent/window.go
@@ -32,17 +32,27 @@
 	w.kinds[kind] = samples
 }
 
-// quantile returns the p99 of a kind over windowSpan and the number of samples behind it.
-func (w *window) quantile(now time.Time, kind string) (p99 time.Duration, count int) {
+// summary describes the latencies of a kind over windowSpan.
+type summary struct {
+	mean  time.Duration
+	p99   time.Duration
+	count int
+}
+
+// summarize returns a summary without quantiles if there are too few samples.
+func (w *window) summarize(now time.Time, kind string) summary {
 	var latencies []time.Duration
+	var sum time.Duration
 	for _, s := range w.kinds[kind] {
 		if now.Sub(s.at) <= windowSpan {
 			latencies = append(latencies, s.latency)
+			sum += s.latency
 		}
 	}
-	if len(latencies) < windowMinimum {
-		return 0, len(latencies)
+	count := len(latencies)
+	if count < windowMinimum {
+		return summary{count: count}
 	}
 	slices.Sort(latencies)
-	return latencies[len(latencies)*99/100], len(latencies)
+	return summary{mean: sum / time.Duration(count), p99: latencies[count*99/100], count: count}
 }
--- a/internal/cell/guard.go
+++ b/internal/cell/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/jasminebay/jasminebay/internal/interfere"
 )
 
 const (
@@ -49,14 +51,23 @@
 
 // learn attributes the latencies of a report to the classes that ran beside the services.
 func (o *Owner) learn(w *worker, now time.Time) {
+	for _, p := range w.pressures {
+		o.c.model.Learn(interfere.Observation{
+			Kind: p.GetKind(), Samples: int(p.GetSamples()),
+			Mean: float64(p.GetMeanMicros()) / microsPerSecond, Tail: float64(p.GetP99Micros()) / microsPerSecond,
+		}, w.beside)
+	}
+}
+
+// observeUse notes what runs on a worker from now on.
+func (w *worker) observeUse(now time.Time) {
 	processors := map[string]float64{}
 	for _, a := range w.assigned {
-		processors[a.class] += w.cores(a)
-	}
-	w.mix.Observe(now, processors)
-	for _, p := range w.pressures {
-		o.c.model.Learn(p.GetKind(), float64(p.GetP99Micros())/microsPerSecond, w.mix)
+		if a.confirmed {
+			processors[a.class] += w.cores(a)
+		}
 	}
+	w.beside.Observe(now, processors)
 }
 
 // caution is how little is dared with classes that were seen seldom: the square of the
@@ -125,7 +136,7 @@
 	}
 	for _, p := range w.pressures {
 		if target := float64(p.GetTargetMicros()) / microsPerSecond; target > 0 {
-			worst = max(worst, o.c.model.Baseline(p.GetKind())/target*inflation)
+			worst = max(worst, o.c.model.Tail(p.GetKind(), w.beside)/target*inflation)
 		}
 	}
 	return worst
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -50,7 +50,7 @@
 	settled    map[string]*peerpb.TaskKey
 	ending     map[string]bool
 	pressures  []*peerpb.Pressure
-	mix        *interfere.Mix
+	beside     *interfere.Worker
 	throttled  map[string]bool
 	pressedAt  time.Time
 	calmAt     time.Time
@@ -85,7 +85,7 @@
 		w = &worker{
 			WorkerInfo: WorkerInfo{Name: name}, term: 1,
 			assigned: map[string]*assignment{}, settled: map[string]*peerpb.TaskKey{},
-			ending: map[string]bool{}, throttled: map[string]bool{}, mix: interfere.NewMix(),
+			ending: map[string]bool{}, throttled: map[string]bool{}, beside: interfere.NewWorker(),
 		}
 		o.c.workers[name] = w
 	}
@@ -139,6 +139,7 @@
 	if r.GetFree() != nil && !w.rebuilding {
 		o.reconcile(w, r.GetTasks(), now)
 		w.pressures = r.GetPressures()
+		w.observeUse(now)
 		o.learn(w, now)
 	}
 	if w.draining {
--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -1,8 +1,10 @@
 // Package interfere learns how much each class of batch task slows the services beside it.
 //
-// A report of a service's latency beside a mix of classes moves the weights of those
-// classes towards what would explain it (normalised least mean squares). Reports lag, so
-// the mix is averaged over the time that a report describes.
+// The mean latency of a kind of request is taken to be its undisturbed latency, times the
+// worker's own factor, times one plus the sum over the classes of their harm by the
+// processors that they use. All of these are estimated together by a Kalman filter of which
+// only the variances are kept. Reports lag and overlap, so the processors are averaged over
+// the time that a report describes, and a report weighs as much as it brings that is new.
 package interfere
 
 import (
@@ -11,98 +13,142 @@
 )
 
 const (
-	learningRate = 0.2
 	// span is the time that a report describes.
 	span = 5 * time.Second
-	// unseenHarm is the inflation per processor that is expected of a class that was never
-	// seen, for a caution of 1.
+	// unseenHarm is the standard deviation of the harm of a class that was never seen, as
+	// inflation per processor.
 	unseenHarm = 0.3
-	// baselineDrift is how fast a kind's undisturbed latency may grow, per report.
-	baselineDrift = 0.002
-	mixMinimum    = 1e-3
+	// unseenBase and unseenSpeed are the relative ones of a kind's latency and a worker's factor.
+	unseenBase  = 0.5
+	unseenSpeed = 0.2
+	// drift is the variance that each estimate gains per second, as what is estimated moves.
+	drift = 0.05 * 0.05 / 60
+	// outlier bounds a surprise to this many standard deviations.
+	outlier = 3.0
+	// tailWeight is the weight of a report in the ratio of tail to mean latency.
+	tailWeight = 0.02
+	// scaleMin keeps an estimate of a latency positive.
+	scaleMin = 0.1
 )
 
+// estimate is a value with its variance.
+type estimate struct {
+	value    float64
+	variance float64
+	prior    float64
+	at       time.Time
+}
+
+func newEstimate(now time.Time, value, deviation float64) *estimate {
+	return &estimate{value: value, variance: deviation * deviation, prior: deviation * deviation, at: now}
+}
+
+// age lets the variance grow with the time since the last use, at most to what it was first.
+func (e *estimate) age(now time.Time) {
+	e.variance = min(e.prior, e.variance+drift*max(0, now.Sub(e.at).Seconds()))
+	e.at = now
+}
+
+// correct shrinks the variance by an observation of a given slope and total variance, and
+// returns the weight of its surprise.
+func (e *estimate) correct(slope, total float64) float64 {
+	gain := e.variance * slope / total
+	e.variance -= gain * slope * e.variance
+	return gain
+}
+
+// kind is what is known of a kind of request.
+type kind struct {
+	// base is the undisturbed mean latency in seconds, with a relative variance.
+	base *estimate
+	// tail is the ratio of the p99 to the mean.
+	tail float64
+}
+
 // Model is what is known of the classes' harm; it is not safe for concurrent use.
 type Model struct {
-	harm      map[string]float64
-	seen      map[string]float64
-	baselines map[string]float64
+	harm  map[string]*estimate
+	kinds map[string]*kind
 }
 
 // New returns a Model that knows nothing.
 func New() *Model {
-	return &Model{harm: map[string]float64{}, seen: map[string]float64{}, baselines: map[string]float64{}}
+	return &Model{harm: map[string]*estimate{}, kinds: map[string]*kind{}}
 }
 
-// Mix is the decayed average of the processors that each class uses on one worker.
-type Mix struct {
-	average map[string]float64
-	at      time.Time
+// Observation is an agent's word on the latency of a kind of request, in seconds.
+type Observation struct {
+	Kind    string
+	Mean    float64
+	Tail    float64
+	Samples int
 }
 
-// NewMix returns an empty Mix.
-func NewMix() *Mix { return &Mix{average: map[string]float64{}} }
-
-// Observe moves the average towards the processors in use at now.
-func (m *Mix) Observe(now time.Time, processors map[string]float64) {
-	weight := 1.0
-	if !m.at.IsZero() {
-		weight = 1 - math.Exp(-float64(now.Sub(m.at))/float64(span))
+// Learn takes in the latency of a kind of request on a worker.
+func (m *Model) Learn(o Observation, w *Worker) {
+	if o.Samples <= 0 || o.Mean <= 0 {
+		return
 	}
-	m.at = now
-	for class := range processors {
-		if _, known := m.average[class]; !known {
-			m.average[class] = 0
-		}
+	news := w.news(o.Kind)
+	if news <= 0 {
+		return
 	}
-	for class, old := range m.average {
-		m.average[class] = old + weight*(processors[class]-old)
-		if m.average[class] < mixMinimum {
-			delete(m.average, class)
-		}
+	processors := w.average()
+	predicted := 1.0
+	total := 1 / (news * float64(o.Samples))
+	for class, x := range processors {
+		h := m.class(w.at, class)
+		predicted += h.value * x
+		total += h.variance * x * x
 	}
-}
-
-// Learn takes in the latency of a kind of request, in seconds, beside mix.
-func (m *Model) Learn(kind string, latency float64, mix *Mix) {
-	inflation := m.inflation(kind, latency, len(mix.average) == 0)
-	predicted, norm := 0.0, 1.0
-	for class, x := range mix.average {
-		predicted += m.harm[class] * x
-		norm += x * x
+	k := m.kinds[o.Kind]
+	if k == nil {
+		k = &kind{base: newEstimate(w.at, o.Mean/predicted, unseenBase), tail: o.Tail / o.Mean}
+		m.kinds[o.Kind] = k
 	}
-	for class, x := range mix.average {
-		m.harm[class] = max(0, m.harm[class]+learningRate*(inflation-predicted)*x/norm)
-		m.seen[class]++
+	k.base.age(w.at)
+	total += (k.base.variance + w.speed.variance) * predicted * predicted
+	surprise := o.Mean/(k.base.value*w.speed.value) - predicted
+	bound := outlier * math.Sqrt(total)
+	surprise = min(max(surprise, -bound), bound)
+	k.base.value *= max(scaleMin, 1+k.base.correct(predicted, total)*surprise)
+	w.speed.value *= max(scaleMin, 1+w.speed.correct(predicted, total)*surprise)
+	for class, x := range processors {
+		h := m.harm[class]
+		h.value = max(0, h.value+h.correct(x, total)*surprise)
 	}
+	k.tail += tailWeight * (o.Tail/o.Mean - k.tail)
 }
 
-// inflation returns how much slower than undisturbed the kind is, 0 for not at all.
-func (m *Model) inflation(kind string, latency float64, quiet bool) float64 {
-	base, known := m.baselines[kind]
-	switch {
-	case !known || latency < base:
-		base = latency
-	case quiet:
-		base += learningRate * (latency - base)
-	default:
-		base *= 1 + baselineDrift
-	}
-	m.baselines[kind] = base
-	if base <= 0 {
-		return 0
+func (m *Model) class(now time.Time, name string) *estimate {
+	h := m.harm[name]
+	if h == nil {
+		h = newEstimate(now, 0, unseenHarm)
+		m.harm[name] = h
 	}
-	return max(0, latency/base-1)
+	h.age(now)
+	return h
 }
 
 // Harm returns the inflation that one processor's worth of class is expected to cause.
-func (m *Model) Harm(class string) float64 { return m.harm[class] }
+func (m *Model) Harm(class string) float64 { return m.Bound(class, 0) }
 
-// Bound returns Harm with a margin for classes that were seen seldom; caution in [0, 1]
-// scales the margin.
+// Bound returns Harm with a margin for what is not known for sure; caution in [0, 1] scales
+// the margin.
 func (m *Model) Bound(class string, caution float64) float64 {
-	return m.harm[class] + caution*unseenHarm/math.Sqrt(1+m.seen[class])
+	h := m.harm[class]
+	if h == nil {
+		return caution * unseenHarm
+	}
+	return h.value + caution*math.Sqrt(h.variance)
 }
 
-// Baseline returns the undisturbed latency of a kind of request in seconds, 0 if unknown.
-func (m *Model) Baseline(kind string) float64 { return m.baselines[kind] }
+// Tail returns the p99 latency of a kind of request on an undisturbed worker in seconds, 0
+// if it is unknown.
+func (m *Model) Tail(kind string, w *Worker) float64 {
+	k := m.kinds[kind]
+	if k == nil {
+		return 0
+	}
+	return k.base.value * k.tail * w.speed.value
+}
