Let the load tool load a running system of separate processes

Cause: the load tool could only start a system in its own process, so that its figures were never of real processes, and an operator could not use it against a trial environment.

A started system is judged by its stand-ins' records as before; both stand behind one interface. What a running system can't be asked for (another policy, faults) is refused.

Ruled out: starting the processes from the tool (a process of the product starts no other).

--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"github.com/jasminebay/jasminebay/examples"
 	"github.com/jasminebay/jasminebay/internal/load"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
+	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
 type loadCommand struct {
@@ -22,6 +24,8 @@
 	Quiet      bool   `long:"no-jobs" description:"run no jobs"`
 	Output     string `long:"output" description:"form of the output" choice:"table" choice:"json" default:"table"`
 	Logs       string `long:"logs" description:"file for the processes' logs" value-name:"FILE"`
+	Callers    string `long:"callers" description:"entries of a running system, for callers; without, a system is started in this process" value-name:"URLS"`
+	Operators  string `long:"operators" description:"entries of the running system, for operators" value-name:"URLS"`
 	Args       struct {
 		File string `positional-arg-name:"FILE" description:"load file, or the name of an example"`
 	} `positional-args:"yes" required:"yes"`
@@ -39,7 +43,10 @@
 	if err != nil {
 		return usageError{err}
 	}
-	document, err := examples.Files.ReadFile(file.Document + ".json")
+	if err := c.check(); err != nil {
+		return usageError{err}
+	}
+	example, err := examples.Files.ReadFile(file.Document + ".json")
 	if err != nil {
 		return usageError{fmt.Errorf("$.document: %w", err)}
 	}
@@ -52,7 +59,7 @@
 	var results []*load.Result
 	for _, v := range c.variants() {
 		progress(c.streams.err, "%s …", v.Name())
-		result, err := load.Run(c.ctx, file, document, v, log)
+		result, err := c.run(file, example, v, log)
 		if err != nil {
 			return err
 		}
@@ -68,6 +75,28 @@
 	return table(c.streams.out, rows)
 }
 
+// check refuses what a running system can't be asked for.
+func (c *loadCommand) check() error {
+	if (c.Callers == "") != (c.Operators == "") {
+		return errors.New("--callers and --operators go together")
+	}
+	if c.Callers != "" && c.Policies+c.Placements+c.Guards != "" {
+		return errors.New("--policy, --placement and --guards are for a system that is started here; a running one has its document")
+	}
+	return nil
+}
+
+func (c *loadCommand) run(f *load.File, raw []byte, v load.Variant, log *slog.Logger) (*load.Result, error) {
+	if c.Callers == "" {
+		return load.Run(c.ctx, f, raw, v, log)
+	}
+	d, err := document.Parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	return load.RunRemote(c.ctx, f, d.Environment, v, load.Remote{Callers: list(c.Callers), Operators: list(c.Operators)})
+}
+
 func (c *loadCommand) read() ([]byte, error) {
 	if raw, err := examples.Files.ReadFile(c.Args.File + ".json"); err == nil {
 		return raw, nil
--- a/internal/load/file.go
+++ b/internal/load/file.go
@@ -67,6 +67,19 @@
 	Run         document.Duration `json:"run"`
 }
 
+// coreSeconds is what one task of the jobs declares.
+func (j *Jobs) coreSeconds() float64 { return float64(j.MilliCPU) / 1000 * j.Run.D().Seconds() }
+
+// job returns the jobs of a task kind, or nil.
+func (f *File) job(kind string) *Jobs {
+	for i := range f.Jobs {
+		if f.Jobs[i].Kind == kind {
+			return &f.Jobs[i]
+		}
+	}
+	return nil
+}
+
 // Class tells how tasks of a class truly behave.
 type Class struct {
 	Class string `json:"class"`
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -1,8 +1,8 @@
 package load
 
 import (
+	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +24,7 @@
 	outstanding int
 	tasks       int
 	refusedJobs int
+	jobs        []string
 }
 
 type kindRecord struct {
@@ -75,7 +76,7 @@
 	}
 }
 
-func (r *recorder) submitted(tasks int, err error) {
+func (r *recorder) submitted(job string, tasks int, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
@@ -83,6 +84,7 @@
 		return
 	}
 	r.tasks += tasks
+	r.jobs = append(r.jobs, job)
 }
 
 // Result is what came out of one run.
@@ -112,30 +114,13 @@
 	P999Millis float64        `json:"p999-millis"`
 }
 
-// result reads the stand-ins' records.
-func (r *run) result() *Result {
+// result sums what callers were told and what the target knows of it.
+func (r *run) result(ctx context.Context) *Result {
 	out := &Result{
 		Variant: r.variant.Name(), Scale: r.variant.Scale, Seconds: (r.file.Duration.D() - r.file.WarmUp.D()).Seconds(),
 		TasksAccepted: r.record.tasks, JobsRefused: r.record.refusedJobs,
 	}
-	var events []standin.Event
-	runs := map[string]int{}
-	for _, m := range r.cluster.Machines() {
-		events = append(events, m.Worker.Events()...)
-		for _, x := range m.Upstream.Record().Runs {
-			out.UpstreamRuns++
-			id, _, _ := strings.Cut(x.Body, ";")
-			if kind := r.document.Services[0].Kind(x.Kind); kind != nil && !kind.Idempotent {
-				runs[id]++
-			}
-		}
-	}
-	for _, n := range runs {
-		if n > 1 {
-			out.Doubled++
-		}
-	}
-	r.countTasks(out, events)
+	r.target.judge(ctx, r, out)
 	for _, kind := range r.document.Services[0].Kinds {
 		if k := r.record.kinds[kind.Name]; k != nil {
 			out.Kinds = append(out.Kinds, k.result(kind.Name))
@@ -159,7 +144,7 @@
 	cores := map[string]float64{}
 	for _, j := range r.file.Jobs {
 		if kind := r.document.TaskKind(j.Kind); kind != nil {
-			cores[kind.Class] = float64(j.MilliCPU) / 1000 * j.Run.D().Seconds()
+			cores[kind.Class] = j.coreSeconds()
 		}
 	}
 	end := r.began.Add(r.file.Duration.D())
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -13,7 +13,6 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/local"
-	"github.com/jasminebay/jasminebay/internal/standin/upstream"
 	"github.com/jasminebay/jasminebay/pkg/client"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
@@ -34,7 +33,7 @@
 	file     *File
 	variant  Variant
 	document *document.Document
-	cluster  *local.Cluster
+	target   target
 	http     *http.Client
 	began    time.Time
 	record   *recorder
@@ -47,22 +46,45 @@
 	if err != nil {
 		return nil, err
 	}
-	if v.Scale == 0 {
-		v.Scale = 1
-	}
 	cluster, err := local.Start(ctx, f.options(raw, log))
 	if err != nil {
 		return nil, err
 	}
-	defer cluster.Stop()
+	return load(ctx, f, d, v, started{cluster})
+}
+
+// RunRemote loads a system that runs already, under the document that it has in force for
+// an environment, and returns what its callers and operators were told.
+func RunRemote(ctx context.Context, f *File, environment string, v Variant, t Remote) (*Result, error) {
+	raw, err := attach(ctx, f, environment, t, &http.Client{Timeout: jobTimeout})
+	if err != nil {
+		return nil, err
+	}
+	d, err := document.Parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	for i, q := range f.Requests {
+		if d.Services[0].Kind(q.Kind) == nil {
+			return nil, fmt.Errorf("load: $.requests[%d].kind: the system's document has no kind %q", i, q.Kind)
+		}
+	}
+	return load(ctx, f, d, v, remote{t})
+}
+
+func load(ctx context.Context, f *File, d *document.Document, v Variant, t target) (*Result, error) {
+	defer t.stop()
+	if v.Scale == 0 {
+		v.Scale = 1
+	}
 	transport := &http.Transport{MaxIdleConnsPerHost: callerIdle}
 	defer transport.CloseIdleConnections()
 	r := &run{
-		file: f, variant: v, document: d, cluster: cluster, record: newRecorder(),
+		file: f, variant: v, document: d, target: t, record: newRecorder(),
 		http: &http.Client{Transport: transport, Timeout: requestBound},
 	}
-	r.run(ctx)
-	return r.result(), nil
+	err := r.run(ctx)
+	return r.result(ctx), err
 }
 
 // options sizes the system that the load runs against.
@@ -93,7 +115,7 @@
 	}
 }
 
-func (r *run) run(ctx context.Context) {
+func (r *run) run(ctx context.Context) (err error) {
 	r.began = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, r.file.Duration.D())
 	defer cancel()
@@ -109,9 +131,10 @@
 			streams.Go(func() { r.jobs(ctx, jobs, i) })
 		}
 	}
-	streams.Go(func() { r.faults(ctx) })
+	streams.Go(func() { err = r.faults(ctx) })
 	streams.Wait()
 	r.wait.Wait()
+	return err
 }
 
 // stream sends the requests of one kind in one data centre as a Poisson process.
@@ -161,8 +184,7 @@
 	defer r.record.leave()
 	time.Sleep(r.file.System.CallerDelay.D())
 	body := append([]byte(id), bytes.Repeat([]byte{'.'}, max(0, q.Bytes-len(id)))...)
-	entry := r.cluster.Entries()[index]
-	answer, err := client.New(client.Options{Address: entry.Callers, HTTP: r.http}).Do(context.Background(), client.Request{
+	answer, err := client.New(client.Options{Address: r.target.callers(index), HTTP: r.http}).Do(context.Background(), client.Request{
 		Service: r.document.Services[0].Name, Kind: q.Kind, Body: body, Timeout: q.Timeout.D(),
 	})
 	time.Sleep(r.file.System.CallerDelay.D())
@@ -192,34 +214,27 @@
 		if j.Until.D() > 0 && due.Sub(r.began) > j.Until.D() {
 			return
 		}
-		entry := r.cluster.Entries()[index%len(r.cluster.Entries())]
+		address := r.target.operators(index)
 		index++
 		bounded, cancel := context.WithTimeout(ctx, jobTimeout)
-		_, err := client.New(client.Options{Address: entry.Operators, HTTP: r.http}).Submit(bounded, client.JobSpec{
+		job, err := client.New(client.Options{Address: address, HTTP: r.http}).Submit(bounded, client.JobSpec{
 			Team: r.document.Teams[0].Name, Name: j.Kind,
 			Tasks: []client.TaskSpec{{Kind: j.Kind, Count: j.Tasks, MilliCPU: j.MilliCPU, MemoryBytes: j.MemoryBytes, Run: j.Run}},
 		}, "")
 		cancel()
-		r.record.submitted(j.Tasks, err)
+		r.record.submitted(job.ID, j.Tasks, err)
 	}
 }
 
 // faults changes the upstreams as the file says.
-func (r *run) faults(ctx context.Context) {
+func (r *run) faults(ctx context.Context) error {
 	for _, f := range r.file.Faults {
 		if !sleepUntil(ctx, r.began.Add(f.At.D())) {
-			return
+			return nil
 		}
-		m := r.cluster.Machines()[f.Runner]
-		switch f.Kind {
-		case "slow":
-			m.Upstream.SetFaults(upstream.Faults{Slow: f.Factor})
-		case "fail-all":
-			m.Upstream.SetFaults(upstream.Faults{FailAll: true})
-		case "lost":
-			m.StopAgent()
-		case "healed":
-			m.Upstream.SetFaults(upstream.Faults{})
+		if err := r.target.apply(f); err != nil {
+			return err
 		}
 	}
+	return nil
 }
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -67,6 +69,18 @@
 	return n.summary(), nil
 }
 
+// cmdLoad runs the load tool against the system's entries: load FILE [options…]
+func cmdLoad(s *system, a arguments) (string, error) {
+	var callers, operators []string
+	for _, name := range s.live() {
+		callers = append(callers, s.processes[name].callers)
+		operators = append(operators, s.processes[name].operators)
+	}
+	arguments := append([]string{"load", filepath.Join(s.dir, a.word(0)), "--callers", strings.Join(callers, ","), "--operators", strings.Join(operators, ",")}, a.words[1:]...)
+	out, err := exec.Command(binary, arguments...).CombinedOutput()
+	return string(out), err
+}
+
 // cmdFinish ends a sender: finish NAME
 func cmdFinish(s *system, a arguments) (string, error) {
 	n := s.senders[a.word(0)]
