Refuse to take a data centre out of the document

Cause: a data centre that the next document did not name left the jobs of its cells without an owner, and nobody was told. Lowering its number of cells was refused already.

Before, testdata/change/cells: a document without zuerich-a and lausanne-a was accepted. After: it is refused, with a line for each. One that is gone stays listed, and entries of other data centres own its cells, where its jobs can be seen and cancelled.

Ruled out: asking the cells whether they hold jobs (a job may come between the answer and the commit); listing the store's cells (a list brings the values of all segments).

Moving what waits there to another data centre is not built.

--- a/pkg/document/change.go
+++ b/pkg/document/change.go
@@ -6,18 +6,23 @@
 )
 
 // CheckChange returns the faults of putting next in the place of d, or nil. A cell keeps the
-// jobs that it has accepted, so the number of a data centre's cells does not shrink.
+// jobs that it has accepted, so neither a data centre nor one of its cells may disappear.
 func (d *Document) CheckChange(next *Document) error {
 	var faults Faults
 	for _, before := range d.DataCentres {
 		i := slices.IndexFunc(next.DataCentres, func(dc DataCentre) bool { return dc.Name == before.Name })
-		if i < 0 || next.DataCentres[i].Cells >= before.Cells {
-			continue
+		switch {
+		case i < 0:
+			faults = append(faults, Fault{
+				Path:    "$.data-centres",
+				Message: fmt.Sprintf("%s is in force and missing, so that the jobs of its cells would be left without an owner; one that is gone stays listed", before.Name),
+			})
+		case next.DataCentres[i].Cells < before.Cells:
+			faults = append(faults, Fault{
+				Path:    fmt.Sprintf("$.data-centres[%d].cells", i),
+				Message: fmt.Sprintf("%d is less than the %d in force, whose jobs would be left without an owner", next.DataCentres[i].Cells, before.Cells),
+			})
 		}
-		faults = append(faults, Fault{
-			Path:    fmt.Sprintf("$.data-centres[%d].cells", i),
-			Message: fmt.Sprintf("%d is less than the %d in force, whose jobs would be left without an owner", next.DataCentres[i].Cells, before.Cells),
-		})
 	}
 	if len(faults) == 0 {
 		return nil
