Gather tasks that slow services on workers that yield

Tasks that harm were spread over all workers, each throttled, so that every service was slowed a little and the tasks a lot; and where the router had left an upstream alone, its agent reported no latency and tasks were placed there without limit, until requests came back.

Now one worker yields where all would be slowed, if the others have twice the slots that its services keep busy. Its agent tells the entries, which prefer other upstreams; only then tasks start there, at full speed. It is given back when its tasks have ended, and reclaimed when the others are 70% busy, its tasks throttled and guarded first. What the model expects is worked out for all kinds of the services on a worker, also those without samples there. Tasks below 3% of inflation are neither throttled nor evicted nor held back.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,7 +44,9 @@
 	grant      grant
 	rebuilding bool
 	draining   bool
-	slice      *peerpb.Slice
+	// yielding tells that the owner gives this worker to tasks that slow services.
+	yielding bool
+	slice    *peerpb.Slice
 	// document is the newest slice that carried a whole document, or nil.
 	document *peerpb.Slice
 	entries  map[string]*peerpb.EntryAddress
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -228,6 +228,11 @@
 	wasTerm, wasEpoch := c.grant.term, c.grant.epoch
 	c.grant.renew(u, sent)
 	l.owner = true
+	if c.yielding != u.GetYielding() {
+		c.yielding = u.GetYielding()
+		a.log.Info("worker yields or is reclaimed", "yielding", c.yielding)
+		a.signal()
+	}
 	if wasTerm != c.grant.term || wasEpoch != c.grant.epoch {
 		a.log.Info("grant of a new owner", "entry", l.id, "cell", u.GetCell(), "epoch", u.GetEpoch(), "term", u.GetTerm())
 		a.signal()
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -8,15 +8,18 @@
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
 
-func upstreamState(now time.Time, u *upstream, draining bool) *peerpb.UpstreamState {
+// upstreamState is what entries are told of an upstream; it runs on the loop.
+func (a *Agent) upstreamState(now time.Time, u *upstream) *peerpb.UpstreamState {
+	c := &a.control
 	return &peerpb.UpstreamState{
 		Service:       u.service,
 		Slots:         int32(u.gate.Slots()),
 		InFlight:      int32(u.gate.InFlight()),
 		Queued:        int32(u.gate.Queued()),
-		Draining:      draining || u.gate.Draining(),
+		Draining:      c.draining || u.gate.Draining(),
 		Ready:         u.gate.Ready(now),
 		LatencyMicros: u.gate.Latency().Microseconds(),
+		Yielding:      c.yielding && now.Before(c.grant.until),
 	}
 }
 
@@ -32,7 +35,7 @@
 	}
 	for _, u := range c.upstreams {
 		if u.gate.Present(now) {
-			r.Upstreams = append(r.Upstreams, upstreamState(now, u, c.draining))
+			r.Upstreams = append(r.Upstreams, a.upstreamState(now, u))
 		}
 	}
 	if c.document.GetRevision() > l.revision {
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -237,7 +237,7 @@
 		a.control.records.Finish(now, r.head.GetId(), fence.StateAnswered, kept)
 		r.upstream.gate.Release(now, r.head.GetId())
 		r.upstream.window.add(now, r.head.GetKind(), now.Sub(began))
-		end.State = upstreamState(now, r.upstream, a.control.draining)
+		end.State = a.upstreamState(now, r.upstream)
 	})
 	return end
 }
@@ -269,7 +269,7 @@
 func (a *Agent) state(r *request) (state *peerpb.UpstreamState) {
 	_ = a.loop.Do(func() {
 		if r.upstream != nil {
-			state = upstreamState(time.Now(), r.upstream, a.control.draining)
+			state = a.upstreamState(time.Now(), r.upstream)
 		}
 	})
 	return state
--- a/internal/cell/guard.go
+++ b/internal/cell/guard.go
@@ -15,7 +15,10 @@
 	throttleDelay = 2 * time.Second
 	budgetBurst   = 2.0
 	// throttleShare is the share of its processors that a throttled task keeps.
-	throttleShare   = 0.25
+	throttleShare = 0.25
+	// harmMin is the inflation below which a task is left alone: to throttle or evict it
+	// would not make the services faster.
+	harmMin         = 0.03
 	microsPerSecond = 1e6
 )
 
@@ -85,9 +88,11 @@
 // most if that was not enough for long.
 func (o *Owner) guard(now time.Time) {
 	d := o.options.Document()
+	o.reviewYields(now)
 	for _, w := range o.c.workers {
-		if d == nil || !d.Guards.Enabled {
+		if d == nil || !d.Guards.Enabled || w.given() {
 			clear(w.throttled)
+			w.pressedAt = time.Time{}
 			continue
 		}
 		o.throttleExpected(w, d.Guards.ThrottleAt)
@@ -112,15 +117,14 @@
 	}
 }
 
-// blocks reports whether a task that adds the given inflation, throttled, would make a
-// worker's services too slow. A worker without tasks may always take one, so that patient
-// work goes on where services are slow by themselves.
-func (o *Owner) blocks(w *worker, inflation float64) bool {
+// blocks reports whether a task that adds the given inflation would, throttled, bring a
+// worker's services past a share of the throttle threshold.
+func (o *Owner) blocks(w *worker, inflation, share float64) bool {
 	d := o.options.Document()
-	if d == nil || !d.Guards.Enabled || len(w.assigned) == 0 {
+	if d == nil || !d.Guards.Enabled || inflation < harmMin {
 		return false
 	}
-	return o.expectedWith(w, inflation) >= d.Guards.ThrottleAt
+	return o.expectedWith(w, inflation*throttleShare) >= d.Guards.ThrottleAt*share
 }
 
 // expected returns the ratio of latency to target that the model expects on a worker for
@@ -130,13 +134,17 @@
 // expectedWith is expected with a further inflation.
 func (o *Owner) expectedWith(w *worker, further float64) (worst float64) {
 	inflation := 1 + further
-	caution := o.caution()
 	for _, a := range w.assigned {
-		inflation += o.c.model.Bound(a.class, caution) * w.cores(a)
+		inflation += o.harm(w, a)
 	}
-	for _, p := range w.pressures {
-		if target := float64(p.GetTargetMicros()) / microsPerSecond; target > 0 {
-			worst = max(worst, o.c.model.Tail(p.GetKind(), w.beside)/target*inflation)
+	d := o.options.Document()
+	for name := range w.serving {
+		service := d.Service(name)
+		if service == nil {
+			continue
+		}
+		for _, k := range service.Kinds {
+			worst = max(worst, o.c.model.Tail(k.Name, w.beside)/k.Target.D().Seconds()*inflation)
 		}
 	}
 	return worst
@@ -166,7 +174,7 @@
 // to be too slow otherwise.
 func (o *Owner) throttleNew(w *worker, a *assignment) {
 	d := o.options.Document()
-	if d == nil || !d.Guards.Enabled {
+	if d == nil || !d.Guards.Enabled || w.given() || o.harm(w, a) < harmMin {
 		return
 	}
 	if expected := o.expected(w); expected >= d.Guards.ThrottleAt {
@@ -227,14 +235,19 @@
 	o.log.Info("task evicted", "worker", w.Name, "task", a.task, "class", a.class, "pressure", pressure)
 }
 
-// worst returns the assignment that is expected to harm the services most.
+// harm returns the inflation that an assignment is expected to cause.
+func (o *Owner) harm(w *worker, a *assignment) float64 {
+	return o.c.model.Bound(a.class, o.caution()) * w.cores(a)
+}
+
+// worst returns the assignment that is expected to harm the services most, or nil if none
+// that is eligible harms them noticeably.
 func (o *Owner) worst(w *worker, eligible func(*assignment) bool) (worst *assignment) {
-	harm := -1.0
-	caution := o.caution()
+	highest := harmMin
 	for _, a := range w.assigned {
-		h := o.c.model.Bound(a.class, caution) * w.cores(a)
-		if eligible(a) && (h > harm || h == harm && a.task < worst.task) {
-			worst, harm = a, h
+		h := o.harm(w, a)
+		if eligible(a) && (h > highest || h == highest && (worst == nil || a.task < worst.task)) {
+			worst, highest = a, h
 		}
 	}
 	return worst
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -101,9 +101,11 @@
 	// preempted tells until when a waiting task asks for no more room.
 	preempted map[string]time.Time
 	sizes     *sizes
-	dirty     bool
-	stopped   bool
-	sweptAt   time.Time
+	// yieldAt is when a worker last began to yield or was reclaimed for its services.
+	yieldAt time.Time
+	dirty   bool
+	stopped bool
+	sweptAt time.Time
 }
 
 // Take makes this process the owner of a cell. Run must be called next.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -26,7 +26,7 @@
 		return
 	}
 	o.c.dirty = false
-	r := &round{owner: o, now: now, seats: o.seats(now), largest: o.largest(), shares: map[string]float64{}}
+	r := &round{owner: o, now: now, seats: o.seats(now), largest: o.largest(), shares: map[string]float64{}, yielders: o.yielders(now)}
 	for urgency := urgencies - 1; urgency >= 0; urgency-- {
 		r.level(o.c.queue.levels[urgency])
 	}
@@ -45,7 +45,7 @@
 		for _, a := range w.assigned {
 			classes[a.class]++
 		}
-		seats = append(seats, driver.Seat{Worker: w.Name, Rack: w.Rack, Capacity: w.capacity, Free: w.free(), Classes: classes, Serves: w.serves})
+		seats = append(seats, driver.Seat{Worker: w.Name, Rack: w.Rack, Capacity: w.capacity, Free: w.free(), Classes: classes, Serves: w.serves()})
 	}
 	slices.SortFunc(seats, func(a, b driver.Seat) int { return strings.Compare(a.Worker, b.Worker) })
 	return seats
@@ -61,6 +61,8 @@
 	largest driver.Resources
 	// shares caches what teams use of their quotas.
 	shares map[string]float64
+	// yielders are the workers that yield to tasks or may.
+	yielders yielders
 	// failed lists needs for which there was no seat.
 	failed []driver.Resources
 }
@@ -133,6 +135,9 @@
 	}
 	choices := r.choose(group)
 	if choices == nil {
+		if r.blocked() {
+			r.owner.yieldFor(r.needOf(task.task), r.yielders, r.now)
+		}
 		r.owner.options.Metrics.Placements.WithLabelValues("no-room").Inc()
 		if task.job.GetUrgency() == urgentRank && !task.job.GetGang() {
 			r.owner.preempt(task.task.GetId(), r.needOf(task.task), r.now)
@@ -217,17 +222,36 @@
 	}
 	cores := float64(resources(g.task.GetResources()).MilliCPU()) / 1000
 	harm := r.owner.c.model.Bound(g.task.GetClass(), r.owner.caution()) * cores
+	yield := r.yielders.room(r.needOf(g.task))
 	for i := range r.seats {
 		r.seats[i].SameJob = racks[r.seats[i].Rack]
 		r.seats[i].Harm, r.seats[i].Blocked = 0, false
 		if r.seats[i].Serves {
-			w := r.owner.c.workers[r.seats[i].Worker]
-			r.seats[i].Harm = harm + w.pressure()
-			r.seats[i].Blocked = r.owner.blocks(w, harm*throttleShare)
+			r.consider(&r.seats[i], harm, yield)
 		}
 	}
 }
 
+// consider fills in what a task of the given harm means for the services of a seat's worker;
+// yield tells that the task finds room on a worker that yields.
+func (r *round) consider(s *driver.Seat, harm float64, yield bool) {
+	w := r.owner.c.workers[s.Worker]
+	switch {
+	case w.yielding:
+		// Until the entries know, tasks would meet the requests that still come.
+		s.Blocked = harm >= harmMin && (w.reclaiming || !w.yielded)
+	case yield:
+		// Where workers can yield, the others take tasks only as long as they stay calm.
+		s.Harm, s.Blocked = harm+w.pressure(), r.owner.blocks(w, harm, calmShare)
+	case len(w.assigned) > 0:
+		s.Harm, s.Blocked = harm+w.pressure(), r.owner.blocks(w, harm, 1)
+	default:
+		// A worker without tasks may always take one where no worker can yield, so that
+		// patient work goes on where services are slow by themselves.
+		s.Harm = harm + w.pressure()
+	}
+}
+
 // needOf returns what a task reserves: what it declares, or more if tasks of its class
 // have used more, as long as that fits the largest worker.
 func (r *round) needOf(t *cellpb.Task) driver.Resources {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -40,7 +40,6 @@
 	lost       bool
 	draining   bool
 	rebuilding bool
-	serves     bool
 	coolUntil  time.Time
 	guardUntil time.Time
 	failures   int
@@ -54,6 +53,17 @@
 	throttled  map[string]bool
 	pressedAt  time.Time
 	calmAt     time.Time
+	// serving is what the worker's upstreams serve, by service; nil before the first report.
+	serving map[string]serving
+	// yielding tells that the worker is to yield to tasks, and yielded that its agent has
+	// told the entries so.
+	yielding bool
+	yielded  bool
+	// reclaiming tells that services need a worker that yields, so that its tasks are
+	// guarded and no more of those that harm are placed there.
+	reclaiming bool
+	// harmedAt is when the tasks of a yielding worker were last expected to harm.
+	harmedAt time.Time
 }
 
 // assignment is an attempt that a worker runs or is about to run.
@@ -132,7 +142,7 @@
 	w.lost = false
 	w.seen = now
 	w.draining, w.rebuilding = r.GetDraining(), r.GetRebuilding()
-	w.serves = len(r.GetUpstreams()) > 0
+	w.observeServing(r.GetUpstreams())
 	if r.GetCapacity() != nil {
 		w.capacity = driver.ResourcesOf(r.GetCapacity())
 	}
@@ -153,7 +163,7 @@
 func (o *Owner) update(w *worker, r *peerpb.Report) *peerpb.Update {
 	u := &peerpb.Update{
 		Sequence: r.GetSequence(), Cell: o.options.Cell, Epoch: o.epoch, Term: w.term,
-		GrantMillis: o.options.Grant.Milliseconds(),
+		GrantMillis: o.options.Grant.Milliseconds(), Yielding: w.yielding,
 	}
 	for _, k := range w.settled {
 		u.Settled = append(u.Settled, k)
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -271,6 +271,7 @@
 			m.Slots += s.GetSlots()
 			m.InFlight += s.GetInFlight()
 			m.Queued += s.GetQueued()
+			m.Yielding = m.GetYielding() || s.GetYielding()
 		}
 	}
 	return merged
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -335,7 +335,9 @@
 				loads = append(loads, sum)
 			}
 			sum.Upstreams++
-			sum.Slots += int32(t.Slots())
+			if !t.Yielding() {
+				sum.Slots += int32(t.Slots())
+			}
 			sum.Busy += int32(t.Busy())
 		}
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -114,6 +114,33 @@
 	is.True(!target.available(now))
 }
 
+// TestYieldingTargets asks for a target while some yield to tasks.
+func TestYieldingTargets(t *testing.T) {
+	is := is.New(t)
+	targets := map[string]*Target{}
+	table := &Table{Services: map[string][]*Target{}}
+	for _, name := range []string{"a", "b"} {
+		targets[name] = NewTarget(name, "dc", "s", 1, nil)
+		table.Services["s"] = append(table.Services["s"], targets[name])
+	}
+	observe := func(name string, inFlight int32, yielding bool) {
+		targets[name].Observe(time.Now(), &peerpb.UpstreamState{Slots: 8, InFlight: inFlight, Ready: true, Yielding: yielding}, true)
+	}
+	trip := &trip{Router: New(Options{}), q: &Request{Service: "s"}, service: &service{picker: pick.New("two-choices", 1)}}
+	trip.Publish(table)
+	observe("a", 0, true)
+	observe("b", 6, false)
+	for range 50 {
+		target, _ := trip.choose(false)
+		is.Equal(target.Agent(), "b")
+	}
+	target, _ := trip.choose(true)
+	is.Equal(target.Agent(), "a") // the less loaded one, if the caller asks for all
+	observe("b", 6, true)
+	target, _ = trip.choose(false)
+	is.True(target == nil)
+}
+
 func TestPoliciesPickWithinBounds(t *testing.T) {
 	is := is.New(t)
 	candidates := []driver.Candidate{
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -195,10 +195,16 @@
 // attempt sends the request once, here or in another data centre. It returns t.last if
 // there is nobody left to ask.
 func (t *trip) attempt(ctx context.Context) *Reply {
-	target, reason := t.choose()
+	target, reason := t.choose(false)
 	if neighbour := t.neighbour(target); neighbour != nil {
 		return t.spill(ctx, neighbour)
 	}
+	if target == nil || t.load >= 1 {
+		// Rather a slow upstream than a queue or none.
+		if slow, slowReason := t.choose(true); slow != nil {
+			target, reason = slow, slowReason+", yielding ones included"
+		}
+	}
 	if target == nil {
 		if t.last == nil {
 			t.last = notRun(peerpb.Reason_REASON_NO_UPSTREAM, "no upstream of the service can take the request", time.Second)
@@ -226,24 +232,24 @@
 	return t.send(ctx, target, id, probe)
 }
 
-// choose picks one of the local targets, or returns nil. A retry prefers those that have
-// not been tried.
-func (t *trip) choose() (*Target, string) {
-	target, policy := t.chooseUntried()
+// choose picks one of the local targets, those that yield to tasks among them if yielding is
+// true, or returns nil. A retry prefers those that have not been tried.
+func (t *trip) choose(yielding bool) (*Target, string) {
+	target, policy := t.chooseUntried(yielding)
 	if target == nil && t.retries > 0 && len(t.tried) > 0 {
 		clear(t.tried)
-		return t.chooseUntried()
+		return t.chooseUntried(yielding)
 	}
 	return target, policy
 }
 
-func (t *trip) chooseUntried() (*Target, string) {
+func (t *trip) chooseUntried(yielding bool) (*Target, string) {
 	now := time.Now()
 	targets := t.table.Load().Services[t.q.Service]
 	open := make([]*Target, 0, len(targets))
 	candidates := make([]driver.Candidate, 0, len(targets))
 	for _, target := range targets {
-		if !t.tried[target] && target.available(now) {
+		if !t.tried[target] && (yielding || !target.Yielding()) && target.available(now) {
 			open = append(open, target)
 			candidates = append(candidates, target.candidate(now))
 		}
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -31,6 +31,7 @@
 	slots     atomic.Int64
 	latency   atomic.Int64
 	open      atomic.Bool
+	yielding  atomic.Bool
 	seen      atomic.Int64
 }
 
@@ -45,6 +46,9 @@
 // Slots returns the number of slots at the last word.
 func (t *Target) Slots() int { return int(t.slots.Load()) }
 
+// Yielding reports whether the agent asks for other upstreams to be preferred.
+func (t *Target) Yielding() bool { return t.yielding.Load() }
+
 // Busy returns the number of requests in flight and queued, as far as this entry knows.
 func (t *Target) Busy() int { return int(t.estimate() + t.queued.Load()) }
 
@@ -60,6 +64,7 @@
 	t.slots.Store(int64(s.GetSlots()))
 	t.latency.Store(s.GetLatencyMicros() * int64(time.Microsecond))
 	t.open.Store(s.GetReady() && !s.GetDraining())
+	t.yielding.Store(s.GetYielding())
 	if heartbeat {
 		t.heartbeat.Store(int64(s.GetInFlight() + s.GetQueued()))
 	}
