--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -1,3 +1,3 @@
-// Package standin names the folder of the small stand-ins for the platform and the
-// upstreams, which tests and the local command use in place of the real ones.
+// Package standin holds what the small stand-ins below it share. They take the place of the
+// platform and the upstreams in tests and in the local command.
 package standin
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	client "github.com/jasminebay/jasminebay/internal/driver/kv"
+	"github.com/jasminebay/jasminebay/internal/standin"
 )
 
 // Rates of the service.
@@ -126,7 +127,7 @@
 	mux.HandleFunc("POST /v1/leases", s.limited(s.writes, s.grant))
 	mux.HandleFunc("POST /v1/leases/{id}/renewals", s.limited(s.writes, s.renew))
 	mux.HandleFunc("GET /v1/watch", s.limited(s.reads, s.watch))
-	mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	mux.HandleFunc("PUT /standin/faults", standin.FaultsHandler(s.SetFaults))
 	mux.HandleFunc("GET /standin/counts", s.getCounts)
 	return mux
 }
@@ -377,15 +378,6 @@
 	return false
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Counts())
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -17,6 +17,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	client "github.com/jasminebay/jasminebay/internal/driver/upstream"
+	"github.com/jasminebay/jasminebay/internal/standin"
 )
 
 const (
@@ -181,7 +182,7 @@
 // Handler returns the HTTP interface.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	mux.HandleFunc("PUT /standin/faults", standin.FaultsHandler(s.SetFaults))
 	mux.HandleFunc("GET /standin/record", s.getRecord)
 	mux.HandleFunc("POST /", s.serve)
 	return mux
@@ -282,15 +283,6 @@
 	}
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) getRecord(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Record())
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	client "github.com/jasminebay/jasminebay/internal/driver/worker"
+	"github.com/jasminebay/jasminebay/internal/standin"
 )
 
 const tick = 10 * time.Millisecond
@@ -147,7 +148,7 @@
 	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/checkpoint", s.withTask(s.checkpoint))
 	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/throttle", s.withTask(s.throttle))
 	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/stop", s.withTask(s.stop))
-	mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	mux.HandleFunc("PUT /standin/faults", standin.FaultsHandler(s.SetFaults))
 	mux.HandleFunc("GET /standin/events", s.getEvents)
 	return mux
 }
@@ -334,15 +335,6 @@
 	_ = json.NewEncoder(w).Encode(t.TaskJSON)
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) getEvents(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Events())
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -57,7 +57,7 @@
 		CellsOwned:     gauge("cells_owned", "Cells owned by this entry."),
 		SlotsTaken:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "jasminebay", Name: "upstream_slots_taken", Help: "Slots in use at the upstream."}, []string{"service"}),
 		TasksRunning:   gauge("tasks_running", "Task attempts running on the worker."),
-		Guards:         counter("guard_actions_total", "Throttles and evictions that protect services.", "action"),
+		Guards:         counter("guard_actions_total", "Throttles, yields and evictions that protect services.", "action"),
 	}
 	r.MustRegister(m.Requests, m.RequestSeconds, m.Attempts, m.Refusals, m.Ejections, m.Spills, m.Retries,
 		m.Placements, m.TaskEndings, m.Commits, m.CommitRecords, m.StoreErrors, m.Revision, m.Agents,
