Tell operators on every entry whether a worker still has tasks

Cause: agents send their tasks to the owner of the cell alone, and the other entries showed that as 0 tasks and nothing free.

Every report says whether attempts are open; that is shown now ("some"), and what the asked entry does not know is left out. Workers and upstreams that yield are shown as well.

Before, scenario workers: an entry that is not the owner showed 0 for a worker that runs two watches. After: 2 or some on all three, and 0 on each once it is drained.

Ruled out: asking the owner for its view (one more call between entries for a page).

--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -290,16 +290,32 @@
 	}
 	rows := [][]string{{"WORKER", "DATA-CENTRE", "RACK", "CELL", "STATE", "FREE-CPU", "FREE-MEMORY", "FREE-ACCELERATORS", "TASKS"}}
 	for _, w := range workers {
-		state := "ready"
-		if w.Draining {
-			state = "draining"
-		} else if w.Rebuilding {
-			state = "rebuilding"
-		}
-		rows = append(rows, []string{
-			w.ID, w.DataCentre, w.Rack, w.Cell, state, fmt.Sprintf("%dm", w.Free.MilliCPU),
-			strconv.FormatInt(w.Free.MemoryBytes, 10), strconv.FormatInt(w.Free.Accelerators, 10), strconv.Itoa(w.Tasks),
-		})
+		rows = append(rows, workerRow(w))
 	}
 	return c.print(c.streams.out, workers, rows)
 }
+
+// workerRow shows what the asked entry does not know as "-", and tasks that it can't count as
+// "some".
+func workerRow(w client.Worker) []string {
+	state := "ready"
+	switch {
+	case w.Draining:
+		state = "draining"
+	case w.Rebuilding:
+		state = "rebuilding"
+	case w.Yielding:
+		state = "yielding"
+	}
+	row := []string{w.ID, w.DataCentre, w.Rack, w.Cell, state, "-", "-", "-", "0"}
+	if w.Holding {
+		row[len(row)-1] = "some"
+	}
+	if w.Free != nil && w.Tasks != nil {
+		copy(row[5:], []string{
+			fmt.Sprintf("%dm", w.Free.MilliCPU), strconv.FormatInt(w.Free.MemoryBytes, 10),
+			strconv.FormatInt(w.Free.Accelerators, 10), strconv.Itoa(*w.Tasks),
+		})
+	}
+	return row
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -217,18 +217,31 @@
 	workers := []client.Worker{}
 	_ = e.loop.Do(func() {
 		for _, a := range e.control.agents {
-			workers = append(workers, client.Worker{
-				ID: a.hello.GetId(), DataCentre: a.hello.GetDataCentre(), Rack: a.hello.GetRack(), Cell: a.cell,
-				Draining: a.report.GetDraining(), Rebuilding: a.report.GetRebuilding(),
-				Capacity: toResources(a.report.GetCapacity()), Free: toResources(a.report.GetFree()),
-				Tasks: len(a.report.GetTasks()), Revision: a.report.GetRevision(), SeenMillis: time.Since(a.seen).Milliseconds(),
-			})
+			workers = append(workers, a.worker())
 		}
 	})
 	slices.SortFunc(workers, func(a, b client.Worker) int { return strings.Compare(a.ID, b.ID) })
 	writeReply(w, jsonReply(http.StatusOK, workers))
 }
 
+// worker describes the agent's worker for operators; it runs on the loop.
+func (a *agentSession) worker() client.Worker {
+	r := a.report
+	w := client.Worker{
+		ID: a.hello.GetId(), DataCentre: a.hello.GetDataCentre(), Rack: a.hello.GetRack(), Cell: a.cell,
+		Draining: r.GetDraining(), Rebuilding: r.GetRebuilding(), Capacity: toResources(r.GetCapacity()),
+		Holding: r.GetHolding(), Revision: r.GetRevision(), SeenMillis: time.Since(a.seen).Milliseconds(),
+	}
+	for _, u := range r.GetUpstreams() {
+		w.Yielding = w.Yielding || u.GetYielding()
+	}
+	if r.GetFree() != nil {
+		free, tasks := toResources(r.GetFree()), len(r.GetTasks())
+		w.Free, w.Tasks = &free, &tasks
+	}
+	return w
+}
+
 func (e *Entry) getUpstreams(_ *restful.Request, w *restful.Response) {
 	upstreams := []client.Upstream{}
 	_ = e.loop.Do(func() {
@@ -237,6 +250,7 @@
 				upstreams = append(upstreams, client.Upstream{
 					Agent: a.hello.GetId(), DataCentre: a.hello.GetDataCentre(), Service: u.GetService(), Slots: int(u.GetSlots()),
 					InFlight: int(u.GetInFlight()), Queued: int(u.GetQueued()), Ready: u.GetReady(), Draining: u.GetDraining(),
+					Yielding: u.GetYielding(),
 				})
 			}
 		}
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -81,6 +81,13 @@
 	return string(out), err
 }
 
+// cmdOperate runs an operator's command against an entry: operate ENTRY COMMAND [options…]
+func cmdOperate(s *system, a arguments) (string, error) {
+	arguments := append([]string{a.word(1), "--address", s.processes[a.word(0)].operators}, a.words[2:]...)
+	out, err := exec.Command(binary, arguments...).CombinedOutput()
+	return string(out), err
+}
+
 // cmdFinish ends a sender: finish NAME
 func cmdFinish(s *system, a arguments) (string, error) {
 	n := s.senders[a.word(0)]
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -58,7 +58,7 @@
 			"await": command(cmdAwait), "job": command(cmdJob), "apply": command(cmdApply), "race": command(cmdRace), "promote": command(cmdPromote),
 			"inforce": command(cmdInForce), "sleep": command(cmdSleep), "ready": command(cmdReady),
 			"owners": command(cmdOwners), "logged": command(cmdLogged), "runs": command(cmdRuns),
-			"load": command(cmdLoad), "tasks": command(cmdTasks), "raw": command(cmdRaw), "calls": command(cmdCalls), "amplification": command(cmdAmplification),
+			"load": command(cmdLoad), "operate": command(cmdOperate), "tasks": command(cmdTasks), "raw": command(cmdRaw), "calls": command(cmdCalls), "amplification": command(cmdAmplification),
 		},
 	})
 }
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -118,12 +118,17 @@
 	Rack       string             `json:"rack"`
 	Cell       string             `json:"cell"`
 	Draining   bool               `json:"draining"`
+	Yielding   bool               `json:"yielding"`
 	Rebuilding bool               `json:"rebuilding"`
 	Capacity   document.Resources `json:"capacity"`
-	Free       document.Resources `json:"free"`
-	Tasks      int                `json:"tasks"`
-	Revision   uint64             `json:"revision"`
-	SeenMillis int64              `json:"seen-millis-ago"`
+	// Holding tells that the worker has tasks whose end is not settled.
+	Holding bool `json:"holding"`
+	// Free and Tasks are known to the owner of the worker's cell alone; an entry that is not
+	// the owner leaves them out.
+	Free       *document.Resources `json:"free,omitempty"`
+	Tasks      *int                `json:"tasks,omitempty"`
+	Revision   uint64              `json:"revision"`
+	SeenMillis int64               `json:"seen-millis-ago"`
 }
 
 // Upstream is a service's upstreams behind one agent.
@@ -136,6 +141,9 @@
 	Queued     int    `json:"queued"`
 	Ready      bool   `json:"ready"`
 	Draining   bool   `json:"draining"`
+	// Yielding tells that the worker is given to tasks that slow services, so that entries
+	// prefer other upstreams.
+	Yielding bool `json:"yielding"`
 }
 
 // Fault is one thing that is wrong with what was sent.
