Count starting upstreams as served, and several of one service together

A worker whose upstream was starting counted as one without services, so that tasks were placed there without a look at what they would do once it served; and of two upstreams of one service on a worker only the last counted.

--- a/internal/cell/yield.go
+++ b/internal/cell/yield.go
@@ -25,6 +25,7 @@
 
 // serving is what a worker says of a service that it serves.
 type serving struct {
+	// slots are 0 while the upstream is starting or leaving.
 	slots float64
 	busy  float64
 }
@@ -41,19 +42,23 @@
 // observeServing takes in the upstreams of a report.
 func (w *worker) observeServing(upstreams []*peerpb.UpstreamState) {
 	first := w.serving == nil
-	serving := make(map[string]serving, len(upstreams))
+	reported := make(map[string]serving, len(upstreams))
 	w.yielded = false
 	for _, u := range upstreams {
-		if !u.GetReady() || u.GetDraining() {
-			continue
+		s := reported[u.GetService()]
+		if u.GetReady() && !u.GetDraining() {
+			s.slots += float64(u.GetSlots())
 		}
-		s := w.serving[u.GetService()]
-		s.slots = float64(u.GetSlots())
-		s.busy += busyWeight * (float64(u.GetInFlight()+u.GetQueued()) - s.busy)
-		serving[u.GetService()] = s
+		s.busy += float64(u.GetInFlight() + u.GetQueued())
+		reported[u.GetService()] = s
 		w.yielded = w.yielded || u.GetYielding()
 	}
-	w.serving = serving
+	for service, s := range reported {
+		old := w.serving[service].busy
+		s.busy = old + busyWeight*(s.busy-old)
+		reported[service] = s
+	}
+	w.serving = reported
 	if first && w.yielded {
 		// An earlier owner has had it yield.
 		w.yielding = true
