Test starting upstreams and several of one service with yields

testdata/yield/serving: the worker whose upstream starts yields, as the other serves alone. testdata/yield/twice: a worker with 6 busy slots yields beside 16 slots on one worker, not beside 8.

--- a/internal/cell/yield_test.go
+++ b/internal/cell/yield_test.go
@@ -68,7 +68,8 @@
 	}
 	switch d.Cmd {
 	case "report":
-		y.report(name, slots, busy, d.HasArg("yielded"))
+		state := &peerpb.UpstreamState{Service: "notice-desk", Slots: int32(slots), InFlight: int32(busy), Ready: !d.HasArg("starting"), Yielding: d.HasArg("yielded")}
+		y.report(name, state, d.HasArg("twice"))
 	case "learn":
 		y.learn(seconds)
 	case "run":
@@ -97,13 +98,16 @@
 	return y.describe()
 }
 
-func (y *yieldWorld) report(name string, slots, busy int, yielded bool) {
+func (y *yieldWorld) report(name string, state *peerpb.UpstreamState, twice bool) {
 	w := y.owner.workerNamed(name)
 	w.capacity, w.seen = driver.NewResources(16_000, 60<<30, 0), y.now
-	state := &peerpb.UpstreamState{Service: "notice-desk", Slots: int32(slots), InFlight: int32(busy), Ready: true, Yielding: yielded}
+	states := []*peerpb.UpstreamState{state}
+	if twice {
+		states = append(states, state)
+	}
 	for range 50 {
 		// The average of busy slots has settled.
-		w.observeServing([]*peerpb.UpstreamState{state})
+		w.observeServing(states)
 	}
 }
 
