--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,10 @@
 	settleTime = time.Second
 	// latencyWeight is the weight of a new sample in the latency average.
 	latencyWeight = 0.1
+	// latencyHold is how long the latency average counts in full without a new sample, and
+	// latencyHalf in what time it halves after that.
+	latencyHold = time.Second
+	latencyHalf = 2 * time.Second
 	// timeNeeded is how many average service times must be left before the deadline, so that
 	// few requests begin that can't end in time.
 	timeNeeded = 2
@@ -71,7 +76,9 @@
 	first     time.Time
 	count     int
 	latency   time.Duration
-	kinds     map[string]time.Duration
+	// sampled is when the newest sample came.
+	sampled time.Time
+	kinds   map[string]time.Duration
 }
 
 // New returns a Gate that admits nothing until the upstream has announced itself twice.
@@ -114,7 +121,15 @@
 func (g *Gate) Slots() int { return g.slots }
 
 // Latency returns the decayed average time that a request holds a slot.
-func (g *Gate) Latency() time.Duration { return g.latency }
+// It fades while there are no samples, so that an upstream which entries have left alone for
+// a few slow answers is tried again.
+func (g *Gate) Latency(now time.Time) time.Duration {
+	idle := now.Sub(g.sampled) - latencyHold
+	if idle <= 0 {
+		return g.latency
+	}
+	return time.Duration(float64(g.latency) * math.Exp2(-float64(idle)/float64(latencyHalf)))
+}
 
 // Announce takes in what the upstream says of itself.
 func (g *Gate) Announce(now time.Time, slots int, draining bool, running []string) {
@@ -238,7 +253,7 @@
 	}
 	delete(g.held, id)
 	sample := now.Sub(h.began)
-	g.latency = average(g.latency, sample)
+	g.latency, g.sampled = average(g.latency, sample), now
 	g.kinds[h.kind] = average(g.kinds[h.kind], sample)
 	g.admit(now)
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -67,6 +67,8 @@
 		g.Abandon(now, id)
 	case "cancel":
 		*verdicts = append(*verdicts, fmt.Sprintf("withdrawn=%v\n", g.Cancel(id)))
+	case "latency":
+		*verdicts = append(*verdicts, fmt.Sprintf("latency=%v\n", g.Latency(now)))
 	case "drain":
 		g.Drain()
 	case "expire":
