Pick a second time only if a target that yields was left out

With all slots taken, a request picked twice also where no worker yields, at twice the cost, and its log line named yielding upstreams that there were none of.

Ruled out: nothing else changes; the first pick stands where it stood before yields came.

--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -101,6 +101,8 @@
 	// candidates and load describe the latest choice.
 	candidates int
 	load       float64
+	// passedOver tells that it left out targets that yield.
+	passedOver bool
 }
 
 // Serve finds an upstream for the request and returns its answer, or why there is none.
@@ -199,11 +201,10 @@
 	if neighbour := t.neighbour(target); neighbour != nil {
 		return t.spill(ctx, neighbour)
 	}
-	if target == nil || t.load >= 1 {
+	if t.passedOver && (target == nil || t.load >= 1) {
 		// Rather a slow upstream than a queue or none.
-		if slow, slowReason := t.choose(true); slow != nil {
-			target, reason = slow, slowReason+", yielding ones included"
-		}
+		target, reason = t.choose(true)
+		reason += ", yielding ones included"
 	}
 	if target == nil {
 		if t.last == nil {
@@ -248,8 +249,13 @@
 	targets := t.table.Load().Services[t.q.Service]
 	open := make([]*Target, 0, len(targets))
 	candidates := make([]driver.Candidate, 0, len(targets))
+	t.passedOver = false
 	for _, target := range targets {
-		if !t.tried[target] && (yielding || !target.Yielding()) && target.available(now) {
+		switch {
+		case t.tried[target] || !target.available(now):
+		case target.Yielding() && !yielding:
+			t.passedOver = true
+		default:
 			open = append(open, target)
 			candidates = append(candidates, target.candidate(now))
 		}
