Send an agent the kinds of a service that starts after it

Cause: an entry cut an agent's slice of the document for the upstreams of the report at hand, and sent the next one with the next revision. An agent whose upstream announced itself later had no kinds of request until somebody changed the document: it reported no latencies, so that the guards were blind on its worker.

Now an entry remembers for each session which services it has sent the kinds of, and an agent takes a slice of the revision it has if that holds more kinds.

Before: TestSliceFollowsUpstreams "0 != 1" (the agent gets no second slice), TestSliceOfTheSameRevision "0 != 1". After: both pass.

Ruled out: a lower revision in the report (status would not tell the truth).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	client "github.com/jasminebay/jasminebay/internal/driver/upstream"
@@ -225,3 +226,25 @@
 	}
 	return strings.TrimSpace(text) + "\n"
 }
+
+// TestSliceOfTheSameRevision gives an agent slices in an order that entries may send them in.
+func TestSliceOfTheSameRevision(t *testing.T) {
+	is := is.New(t)
+	a := New(Options{Log: slog.New(slog.DiscardHandler)})
+	few := []*peerpb.KindSlice{{Service: "a", Kind: "x"}}
+	more := append(few, &peerpb.KindSlice{Service: "b", Kind: "y"})
+	for _, step := range []struct {
+		slice *peerpb.Slice
+		kinds int
+	}{
+		{&peerpb.Slice{Revision: 5}, 0},
+		{&peerpb.Slice{Revision: 5, Kinds: few}, 1},
+		{&peerpb.Slice{Revision: 5, Kinds: more}, 2},
+		{&peerpb.Slice{Revision: 5}, 2},
+		{&peerpb.Slice{Revision: 4, Kinds: append(more, more...)}, 2},
+		{&peerpb.Slice{Revision: 6, Kinds: few}, 1},
+	} {
+		a.learnSlice(step.slice)
+		is.Equal(len(a.control.slice.GetKinds()), step.kinds)
+	}
+}
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -248,6 +248,10 @@
 		c.document = s
 		a.signal()
 	}
+	if s.GetRevision() == c.slice.GetRevision() && len(s.GetKinds()) > len(c.slice.GetKinds()) {
+		// An upstream has announced itself since the slice was cut.
+		c.slice = s
+	}
 	if s.GetRevision() > c.slice.GetRevision() {
 		a.log.Info("configuration changed", "revision", s.GetRevision())
 		c.slice = s
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -42,6 +42,8 @@
 	report  *peerpb.Report
 	seen    time.Time
 	cell    string
+	// sliced are the services whose kinds the agent has been sent.
+	sliced map[string]bool
 	// documents bounds the bytes of documents that the agent is sent.
 	documents *rate.Limiter
 	// knownSent is the version of the list of entries that the agent has.
@@ -180,8 +182,9 @@
 		}
 	}
 	update.Revision = current.Revision()
-	if r.GetRevision() < current.Revision() {
+	if r.GetRevision() < current.Revision() || current != nil && !a.hasKinds(r) {
 		update.Slice = slice(r, current)
+		a.noteKinds(r)
 	}
 	if keeper && r.GetDocumentRevision() < current.Revision() {
 		e.addDocument(a, r, current, update)
@@ -277,6 +280,24 @@
 	return merged
 }
 
+// hasKinds reports whether the agent has been sent the kinds of all services that it reports.
+// An upstream may start after its agent has got its slice.
+func (a *agentSession) hasKinds(r *peerpb.Report) bool {
+	for _, u := range r.GetUpstreams() {
+		if !a.sliced[u.GetService()] {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *agentSession) noteKinds(r *peerpb.Report) {
+	a.sliced = make(map[string]bool, len(r.GetUpstreams()))
+	for _, u := range r.GetUpstreams() {
+		a.sliced[u.GetService()] = true
+	}
+}
+
 // slice cuts what an agent needs out of the document.
 func slice(r *peerpb.Report, current *config.Current) *peerpb.Slice {
 	d := current.Document()
--- a/internal/entry/agents_test.go
+++ b/internal/entry/agents_test.go
@@ -9,9 +9,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/jasminebay/jasminebay/examples"
 	"github.com/jasminebay/jasminebay/internal/config"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/route"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
@@ -64,6 +68,25 @@
 	})
 }
 
+// TestSliceFollowsUpstreams reports an upstream only after the agent has got its slice of the
+// document, as when the upstream starts later than the agent.
+func TestSliceFollowsUpstreams(t *testing.T) {
+	is := is.New(t)
+	e := New(Options{ID: "entry-1", DataCentre: "zuerich-a", Holder: exampleHolder(t), Router: route.New(route.Options{}), Metrics: telemetry.NewMetrics(), Log: slog.New(slog.DiscardHandler)})
+	go e.loop.Run(t.Context())
+	a := newAgentSession(&peerpb.Hello{Id: "runner-0", DataCentre: "zuerich-a"}, nil)
+	first := e.answer(a, &peerpb.Report{}).GetSlice()
+	is.Equal(len(first.GetKinds()), 0)
+	report := &peerpb.Report{Revision: first.GetRevision(), DocumentRevision: first.GetRevision(), Upstreams: []*peerpb.UpstreamState{{Service: "servietten-hub"}}}
+	second := e.answer(a, report).GetSlice()
+	is.Equal(second.GetRevision(), first.GetRevision())
+	is.Equal(len(second.GetKinds()), 3)
+	is.True(e.answer(a, report).GetSlice() == nil) // it has them now
+	report.Upstreams = append(report.Upstreams, &peerpb.UpstreamState{Service: "unknown"})
+	e.answer(a, report)
+	is.True(e.answer(a, report).GetSlice() == nil) // a service that the document does not name is asked for once
+}
+
 // offerLarge puts a document of about 100 KB in force.
 func offerLarge(t *testing.T, h *config.Holder, revision uint64) {
 	raw, err := examples.Files.ReadFile("verband.json")
