--- a/internal/entry/agents_test.go
+++ b/internal/entry/agents_test.go
@@ -109,3 +109,13 @@
 		t.Fatal(err)
 	}
 }
+
+func TestMergeLeavesTheReport(t *testing.T) {
+	is := is.New(t)
+	states := []*peerpb.UpstreamState{{Service: "hub", Slots: 8, Ready: true}, {Service: "hub", Slots: 8, Ready: true, Yielding: true}}
+	for range 2 {
+		merged := mergeByService(states)["hub"]
+		is.Equal(merged.GetSlots(), int32(16))
+		is.True(merged.GetYielding())
+	}
+}
