Split the guard of one worker off, and expect nothing without a document

Cause: read as a newcomer. guard had grown to thirty lines; what is expected of a worker would have read a document that is not known yet, which no caller lets happen today. Tests of internal/cell pass as before.

--- a/internal/cell/guard.go
+++ b/internal/cell/guard.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/interfere"
+	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
 const (
@@ -83,9 +84,7 @@
 	return d.Objective.TailLatency * d.Objective.TailLatency
 }
 
-// guard protects services from the tasks beside them: it throttles what is expected to
-// harm too much, throttles more if the services are still too slow, and evicts what harms
-// most if that was not enough for long.
+// guard protects services from the tasks beside them, except on workers that yield.
 func (o *Owner) guard(now time.Time) {
 	d := o.options.Document()
 	o.reviewYields(now)
@@ -95,25 +94,31 @@
 			w.pressedAt = time.Time{}
 			continue
 		}
-		o.throttleExpected(w, d.Guards.ThrottleAt)
-		pressure := w.pressure()
-		switch {
-		case pressure >= d.Guards.ThrottleAt:
-			w.calmAt = time.Time{}
-			o.throttleMeasured(w, pressure, now)
-		case pressure < d.Guards.ThrottleAt*calmShare:
-			o.calm(w, d.Guards.ThrottleAt, now)
-		}
-		if pressure < d.Guards.EvictAt {
-			w.pressedAt = time.Time{}
-			continue
-		}
-		if w.pressedAt.IsZero() {
-			w.pressedAt = now
-		}
-		if now.Sub(w.pressedAt) >= d.Guards.Hold.D() && o.c.budget.take(now, d.Guards.EvictionsPerMinute) {
-			o.evict(w, pressure, now)
-		}
+		o.guardWorker(w, d.Guards, now)
+	}
+}
+
+// guardWorker throttles what is expected to harm too much, throttles more if the services
+// are still too slow, and evicts what harms most if that was not enough for long.
+func (o *Owner) guardWorker(w *worker, g document.Guards, now time.Time) {
+	o.throttleExpected(w, g.ThrottleAt)
+	pressure := w.pressure()
+	switch {
+	case pressure >= g.ThrottleAt:
+		w.calmAt = time.Time{}
+		o.throttleMeasured(w, pressure, now)
+	case pressure < g.ThrottleAt*calmShare:
+		o.calm(w, g.ThrottleAt, now)
+	}
+	if pressure < g.EvictAt {
+		w.pressedAt = time.Time{}
+		return
+	}
+	if w.pressedAt.IsZero() {
+		w.pressedAt = now
+	}
+	if now.Sub(w.pressedAt) >= g.Hold.D() && o.c.budget.take(now, g.EvictionsPerMinute) {
+		o.evict(w, pressure, now)
 	}
 }
 
@@ -138,6 +143,9 @@
 		inflation += o.harm(w, a)
 	}
 	d := o.options.Document()
+	if d == nil {
+		return 0
+	}
 	for name := range w.serving {
 		service := d.Service(name)
 		if service == nil {
