Keep vacated room for the urgent task it was made for

Cause: preempt() evicts several patient tasks for one urgent task, and each leaves on its own. Between the first and the last end, a placement round offered the room that was already free to patient tasks, so more had to be evicted than the need.

Ruled out: the pause between two preemptions (2 s, longer than any eviction seen), and a second urgent task counting the same victims (they are marked).

Change: the chosen worker holds the need until the urgent task has started, no longer waits, or the pause is over; lower urgencies and other preemptions see the rest only.

Before: TestScenarios/tasks-urgent red with evictions=6 (want 2 to 4).

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -42,7 +42,7 @@
 		log: quiet, work: make(chan struct{}, 1),
 		c: control{
 			state: NewState(), workers: map[string]*worker{}, queue: newQueue(), use: map[string]driver.Resources{},
-			model: interfere.New(), sizes: newSizes(), preempted: map[string]time.Time{}, dirty: true, taken: time.Now(),
+			model: interfere.New(), sizes: newSizes(), preempted: map[string]time.Time{}, holds: map[string]hold{}, dirty: true, taken: time.Now(),
 		},
 	}
 	for i := range workers {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -100,6 +100,7 @@
 	budget    budget
 	// preempted tells until when a waiting task asks for no more room.
 	preempted map[string]time.Time
+	holds     map[string]hold
 	sizes     *sizes
 	// yieldAt is when a worker last began to yield or was reclaimed for its services.
 	yieldAt time.Time
@@ -121,7 +122,7 @@
 		c: control{
 			state: state, workers: map[string]*worker{}, queue: newQueue(), use: map[string]driver.Resources{},
 			confirmed: journal.Confirmed(), taken: time.Now(), model: interfere.New(), sizes: newSizes(),
-			preempted: map[string]time.Time{},
+			preempted: map[string]time.Time{}, holds: map[string]hold{},
 		},
 	}
 	owner.restore(before)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -26,6 +26,12 @@
 	o.c.dirty = false
 	r := &round{owner: o, now: now, seats: o.seats(now), largest: o.largest(), shares: map[string]float64{}, yielders: o.yielders(now)}
 	for urgency := urgencies - 1; urgency >= 0; urgency-- {
+		if urgency == urgentRank-1 {
+			// What was vacated for an urgent task is not offered to work that is less urgent.
+			for i := range r.seats {
+				r.seats[i].Free = r.seats[i].Free.Minus(o.heldOn(r.seats[i].Worker, "", now))
+			}
+		}
 		r.level(o.c.queue.levels[urgency])
 	}
 	if r.placed >= placementsPerRound {
--- a/internal/cell/yield_test.go
+++ b/internal/cell/yield_test.go
@@ -44,7 +44,7 @@
 			log: quiet, work: make(chan struct{}, 1),
 			c: control{
 				state: NewState(), workers: map[string]*worker{}, queue: newQueue(), use: map[string]driver.Resources{},
-				model: interfere.New(), sizes: newSizes(), preempted: map[string]time.Time{},
+				model: interfere.New(), sizes: newSizes(), preempted: map[string]time.Time{}, holds: map[string]hold{},
 			},
 		}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return w.command(t, d) })
