--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/settings"
 	"github.com/jasminebay/jasminebay/pkg/client"
+	"github.com/jasminebay/jasminebay/platform/process"
 )
 
 // Exit statuses by kind of failure.
@@ -45,6 +46,8 @@
 var descriptions = []description{
 	{"entry", "run an entry", "Serves callers, operators, agents and other entries.\n\nExample:\n  jasminebay entry --id entry-1 --data-centre zuerich-a --advertise 10.0.0.5:7082 --store http://10.0.0.9:2379"},
 	{"agent", "run an agent", "Runs beside an upstream or a worker.\n\nExample:\n  jasminebay agent --id runner-01 --data-centre zuerich-a --rack rack-1 --entry 10.0.0.5:7082 --worker http://127.0.0.1:7100"},
+	{"platform-entry", "run an entry on the operators' platform", "Takes its addresses from the settings file of the platform.\n\nExample:\n  jasminebay platform-entry --log-level warn"},
+	{"platform-agent", "run an agent on the operators' platform", "Takes its addresses from the settings file of the platform.\n\nExample:\n  jasminebay platform-agent --log-level warn"},
 	{"local", "run everything in one process on loopback", "Runs entries, agents and stand-ins for the platform and the upstreams, for a first look.\n\nExamples:\n  jasminebay local\n  jasminebay local --once"},
 	{"apply", "accept a configuration document", "Puts a document if the revision that was read is still the current one.\n\nExample:\n  jasminebay apply --revision 12 examples/verband.json"},
 	{"get", "print a configuration document", "Prints the current document on standard output and its revision on standard error.\n\nExample:\n  jasminebay get production"},
@@ -80,21 +83,23 @@
 
 func commands(ctx context.Context, s streams) map[string]any {
 	return map[string]any{
-		"entry":   &entryCommand{ctx: ctx, streams: s},
-		"agent":   &agentCommand{ctx: ctx, streams: s},
-		"local":   &localCommand{ctx: ctx, streams: s},
-		"apply":   &applyCommand{ctx: ctx, streams: s},
-		"get":     &getCommand{ctx: ctx, streams: s},
-		"promote": &promoteCommand{ctx: ctx, streams: s},
-		"status":  &statusCommand{ctx: ctx, streams: s},
-		"submit":  &submitCommand{ctx: ctx, streams: s},
-		"cancel":  &cancelCommand{ctx: ctx, streams: s},
-		"jobs":    &jobsCommand{ctx: ctx, streams: s},
-		"settle":  &settleCommand{ctx: ctx, streams: s},
-		"drain":   &drainCommand{ctx: ctx, streams: s},
-		"workers": &workersCommand{ctx: ctx, streams: s},
-		"load":    &loadCommand{ctx: ctx, streams: s},
-		"version": &versionCommand{streams: s},
+		"entry":          &entryCommand{ctx: ctx, streams: s},
+		"agent":          &agentCommand{ctx: ctx, streams: s},
+		"platform-entry": &platformCommand{ctx: ctx, run: process.RunEntry},
+		"platform-agent": &platformCommand{ctx: ctx, run: process.RunAgent},
+		"local":          &localCommand{ctx: ctx, streams: s},
+		"apply":          &applyCommand{ctx: ctx, streams: s},
+		"get":            &getCommand{ctx: ctx, streams: s},
+		"promote":        &promoteCommand{ctx: ctx, streams: s},
+		"status":         &statusCommand{ctx: ctx, streams: s},
+		"submit":         &submitCommand{ctx: ctx, streams: s},
+		"cancel":         &cancelCommand{ctx: ctx, streams: s},
+		"jobs":           &jobsCommand{ctx: ctx, streams: s},
+		"settle":         &settleCommand{ctx: ctx, streams: s},
+		"drain":          &drainCommand{ctx: ctx, streams: s},
+		"workers":        &workersCommand{ctx: ctx, streams: s},
+		"load":           &loadCommand{ctx: ctx, streams: s},
+		"version":        &versionCommand{streams: s},
 	}
 }
 
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -93,6 +93,28 @@
 	return err
 }
 
+// platformMemoryLimit keeps the heap of a program on the platform below what its VM has.
+const platformMemoryLimit = 90 << 20
+
+// platformCommand runs one of the programs on the operators' platform.
+type platformCommand struct {
+	LogLevel string `long:"log-level" env:"JASMINEBAY_LOG_LEVEL" default:"info" description:"least level of log lines: debug, info, warn or error"`
+	run      func(context.Context, *slog.Logger) error
+	ctx      context.Context
+}
+
+// Execute runs the program until SIGTERM.
+func (c *platformCommand) Execute([]string) (err error) {
+	var level slog.Level
+	if err = level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return usageError{fmt.Errorf("--log-level: %w", err)}
+	}
+	debug.SetMemoryLimit(platformMemoryLimit)
+	log, flush := logger(level)
+	defer flush()
+	return c.run(c.ctx, log)
+}
+
 type versionCommand struct{ streams streams }
 
 // Execute prints the version.
--- /dev/null
+++ b/internal/flow/engine/admit.go
@@ -0,0 +1,185 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+)
+
+// Admission answers bursts beyond what the runners can do: a job that can't be done within
+// its objective any more, because of the work of its priority and above that waits before
+// it, would only make others late. It is refused at once, with the time by which that work
+// will be done.
+const (
+	// admitShare is how much of the runners' capacity the work that waits can count on.
+	admitShare = 0.9
+	// retryLeast and retryMost bound the time after which a refused client may return.
+	retryLeast = time.Second
+	retryMost  = 10 * time.Second
+)
+
+// Load is what admission looks at.
+type Load struct {
+	// Capacity is what the queue's runners can do, in thousandths of a processor.
+	Capacity int64
+	// Backlog is the work of this priority and above that is left, in thousandths of a
+	// processor times milliseconds.
+	Backlog float64
+	// Chain is the job's longest chain of work, in milliseconds.
+	Chain float64
+	// Allowed is how long the job may wait in all and still be in time, in milliseconds.
+	Allowed float64
+}
+
+// Admit reports whether a job may still be done in time, and if not when to come back.
+func Admit(l Load) (ok bool, retryAfter time.Duration) {
+	if l.Capacity <= 0 {
+		return false, retryLeast
+	}
+	wait := l.Backlog / (admitShare * float64(l.Capacity))
+	if wait <= l.Allowed {
+		return true, 0
+	}
+	after := time.Duration(wait-l.Allowed) * time.Millisecond
+	return false, min(max(after, retryLeast), retryMost)
+}
+
+// Submit takes in a job. The reply comes once the job is durable, or at once if it is refused.
+func (e *Engine) Submit(call uint64, def *flowpb.Job, now Moment) {
+	if j := e.jobs[def.GetId()]; j != nil {
+		if j.durable {
+			e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_OK, State: j.state()})
+			return
+		}
+		j.replies = append(j.replies, call)
+		return
+	}
+	refuse := func(status flowpb.Status, after time.Duration, reason string) {
+		e.options.Log.Info("job refused", "job", def.GetId(), "queue", def.GetQueue(), "status", status.String(), "reason", reason, "retry-after-ms", after.Milliseconds(), "open", len(e.open))
+		e.reply(Reply{Call: call, Status: status, RetryAfter: after, Detail: reason})
+	}
+	q, known := e.queues[def.GetQueue()]
+	if !known {
+		// The entry may know a newer configuration than this process.
+		q = queueOf(def.GetQueue(), def.GetTerms())
+	}
+	if err := Check(def); err != nil {
+		refuse(flowpb.Status_STATUS_INVALID, 0, err.Error())
+		return
+	}
+	if e.storeFailing {
+		refuse(flowpb.Status_STATUS_UNAVAILABLE, retryLeast, "the store does not take writes")
+		return
+	}
+	def.Terms = q.Terms()
+	def.AcceptedUnixMillis = now.Unix
+	j := &job{def: def, queue: q, arrived: now.Steady, replies: []uint64{call}}
+	first := newOccurrence(j, 0, now.Steady)
+	if load, sheds := e.load(j, first); sheds {
+		if ok, after := Admit(load); !ok {
+			refuse(flowpb.Status_STATUS_REJECTED, after, "overload")
+			return
+		}
+	}
+	if def.GetOccurrences() == 0 {
+		first.advance(now.Steady)
+		j.occurrences = append(j.occurrences, first)
+		j.next = 1
+	}
+	e.jobs[j.id()], e.open[j.id()] = j, j
+	e.mark(j)
+	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.longestChain(), "open", len(e.open))
+}
+
+// load returns what admission looks at, and whether the job is one that may be shed.
+func (e *Engine) load(j *job, first *occurrence) (l Load, sheds bool) {
+	for _, s := range j.def.GetSteps() {
+		if s.GetLasting() {
+			return l, false
+		}
+	}
+	if j.def.GetOccurrences() > 0 {
+		return l, false
+	}
+	for _, w := range e.workers {
+		if w.info.GetService() == j.queue.Service {
+			l.Capacity += w.info.GetMilliCpu()
+		}
+	}
+	for _, other := range e.open {
+		if other.queue.Service != j.queue.Service || other.queue.Priority > j.queue.Priority {
+			continue
+		}
+		l.Backlog += e.workLeft(other, &l.Capacity)
+	}
+	for _, s := range first.steps {
+		l.Backlog += float64(s.def.GetCount()) * e.estimates.millis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
+	}
+	l.Chain = e.estimates.millis(j.queue.Name, first.longestChain())
+	l.Allowed = j.queue.Stretch*l.Chain + float64(j.queue.Target.Milliseconds())
+	return l, true
+}
+
+// workLeft returns the work that is left of a job; what its lasting tasks hold is taken off
+// the capacity instead.
+func (e *Engine) workLeft(j *job, capacity *int64) (work float64) {
+	for _, o := range j.occurrences {
+		if o.done {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.def.GetLasting() {
+				*capacity -= int64(s.left) * s.def.GetMilliCpu()
+				continue
+			}
+			each := e.estimates.millis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
+			for _, t := range s.tasks {
+				switch {
+				case t.done:
+				case len(t.runs) > 0:
+					work += each * float64(100-min(t.runs[0].percent, 100)) / 100
+				default:
+					work += each
+				}
+			}
+		}
+	}
+	return work
+}
+
+// Cancel ends a job; the reply comes once that is durable.
+func (e *Engine) Cancel(call uint64, id string, now Moment) {
+	j := e.jobs[id]
+	if j == nil {
+		e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_NOT_FOUND})
+		return
+	}
+	e.close(j, flowpb.Outcome_OUTCOME_CANCELLED, now, "cancelled by the client")
+	if j.durable && j.shown == j.outcome {
+		e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_OK, State: j.state()})
+		return
+	}
+	j.cancels = append(j.cancels, call)
+	e.mark(j)
+}
+
+// Read tells the state of a job as the store holds it.
+func (e *Engine) Read(call uint64, id string) {
+	j := e.jobs[id]
+	if j == nil {
+		e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_NOT_FOUND})
+		return
+	}
+	e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_OK, State: j.state()})
+}
+
+// Count tells how many accepted jobs of a queue have not begun.
+func (e *Engine) Count(call uint64, queue string) {
+	pending := int64(0)
+	for _, j := range e.open {
+		if j.def.GetQueue() == queue && j.durable && !j.begun {
+			pending++
+		}
+	}
+	e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_OK, Pending: pending})
+}
--- /dev/null
+++ b/internal/flow/engine/ends.go
@@ -0,0 +1,337 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+)
+
+// Connect notes that a session with a node's agent has opened.
+func (e *Engine) Connect(node string) {
+	w := e.worker(node)
+	w.connected, w.synced, w.token = true, false, 0
+}
+
+// Disconnect notes that the session with a node's agent has ended.
+func (e *Engine) Disconnect(node string, now Moment) {
+	w := e.worker(node)
+	w.connected, w.synced = false, false
+	e.options.Log.Warn("agent disconnected", "node", node, "runs", len(w.runs), "lease-left-ms", (w.leaseEnd - now.Steady).Milliseconds())
+	if w.unused() {
+		delete(e.workers, node)
+	}
+	e.stirred = true
+}
+
+// Sync gives a runner a new token. Orders under earlier tokens have no effect from the
+// moment at which the runner has seen it.
+func (e *Engine) Sync(node string, s *flowpb.Sync, now Moment) {
+	w := e.worker(node)
+	e.tokens++
+	w.token, w.synced, w.resyncAt = e.tokens, false, now.Steady
+	w.connected = true
+	info := s.GetRunner()
+	if !sameLife(w.info, info) {
+		w.settled, w.taken, w.foreign, w.health = 0, 0, map[driver.RunID]time.Duration{}, health{}
+	}
+	w.info = info
+	for _, r := range w.runs {
+		if s.GetGone() || !sameLife(r.life, info) {
+			e.lose(r, now.Steady, "runner is gone")
+		}
+	}
+	e.options.Log.Info("runner synchronises", "node", node, "runner", info.GetId(), "born", info.GetBorn(), "gone", s.GetGone(), "token", w.token, "draining", info.GetDraining())
+	if !s.GetGone() {
+		e.orders(w)
+	}
+}
+
+// Report takes in what an agent reports and grants a lease in return.
+func (e *Engine) Report(node string, report *flowpb.Report, now Moment) {
+	w := e.workers[node]
+	if w == nil || report.GetToken() != w.token || w.token == 0 {
+		e.options.Log.Info("report under an old token passed over", "node", node, "token", report.GetToken())
+		return
+	}
+	if w.info.GetDraining() != report.GetRunner().GetDraining() || w.info.GetUnhealthy() != report.GetRunner().GetUnhealthy() {
+		e.options.Log.Info("runner changes state", "node", node, "runner", report.GetRunner().GetId(), "draining", report.GetRunner().GetDraining(), "unhealthy", report.GetRunner().GetUnhealthy())
+		e.stirred = true
+	}
+	w.reported, w.report, w.info = now.Steady, report.GetSequence(), report.GetRunner()
+	for _, result := range report.GetResults() {
+		e.startResult(w, result, now.Steady)
+	}
+	if report.GetListed() {
+		e.listed(w, report, now)
+	}
+	e.grant(w, now.Steady)
+}
+
+// grant lets the runner's tasks run on for a lease from the sending of the last report.
+func (e *Engine) grant(w *worker, now time.Duration) {
+	length := min(e.options.Lease, e.grantUntil-now)
+	if length <= 0 || !w.synced {
+		return
+	}
+	w.leaseEnd = max(w.leaseEnd, leaseOf(now, length))
+	o := e.orders(w)
+	o.Report, o.GrantMillis = w.report, length.Milliseconds()
+}
+
+// listed reconciles what the runner holds with what is assigned to it.
+func (e *Engine) listed(w *worker, report *flowpb.Report, now Moment) {
+	seen := map[driver.RunID]bool{}
+	for _, held := range report.GetRunning() {
+		id := driver.RunID{Task: held.GetTask(), Run: held.GetRun()}
+		seen[id] = true
+		if r := w.runs[id]; r != nil {
+			e.observe(r, held, now.Steady)
+		} else if _, known := w.foreign[id]; !known {
+			w.foreign[id] = 0
+			e.options.Log.Warn("runner holds a run that is not assigned to it", "node", w.node, "task", id.Task, "run", id.Run)
+		}
+	}
+	for _, end := range report.GetEnds() {
+		if end.GetNumber() > w.taken {
+			w.taken = end.GetNumber()
+			e.end(w, end, now)
+		}
+	}
+	for id := range w.foreign {
+		if !seen[id] {
+			delete(w.foreign, id)
+			e.stirred = true
+		}
+	}
+	if !w.synced {
+		w.synced = true
+		for id, r := range w.runs {
+			if !seen[id] && r.stored && r.phase != phasePlanned {
+				e.lose(r, now.Steady, "not on the runner")
+			}
+		}
+		e.stirred = true
+	}
+	if !e.Dirty() && e.inFlight == 0 {
+		w.settled = w.taken
+	}
+}
+
+// observe takes in the progress of a live run.
+func (e *Engine) observe(r *run, held *flowpb.Run, now time.Duration) {
+	if r.phase == phaseOrdered {
+		e.begin(r, now)
+	}
+	if held.GetCheckpoint() != "" {
+		r.task.checkpoint = held.GetCheckpoint()
+	}
+	if int(held.GetPercent()) != r.percent {
+		r.percent, r.advanced = int(held.GetPercent()), now
+	}
+	r.gauge = held.GetGauge()
+}
+
+// begin notes that a run is at work.
+func (e *Engine) begin(r *run, now time.Duration) {
+	if r.phase != phaseOrdered {
+		return
+	}
+	r.phase, r.started, r.advanced = phaseStarted, now, now
+	j := r.task.step.job()
+	if !j.begun {
+		j.begun = true
+	}
+	if !e.wanted(r) {
+		e.stop(r, now, "no longer wanted")
+	}
+}
+
+// wanted reports whether a run still has a purpose.
+func (e *Engine) wanted(r *run) bool { return r.task.step.job().open() && !r.task.done }
+
+func (e *Engine) startResult(w *worker, result *flowpb.StartResult, now time.Duration) {
+	r := w.runs[driver.RunID{Task: result.GetTask(), Run: result.GetRun()}]
+	if r == nil || r.phase == phasePlanned {
+		return
+	}
+	switch result.GetOutcome() {
+	case flowpb.StartOutcome_START_OUTCOME_STARTED:
+		e.begin(r, now)
+		return
+	case flowpb.StartOutcome_START_OUTCOME_DOUBT:
+		// The agent synchronises next, which settles it.
+		return
+	case flowpb.StartOutcome_START_OUTCOME_NO_ROOM:
+		w.fullUntil = now + fullPause
+	case flowpb.StartOutcome_START_OUTCOME_UNHEALTHY:
+		w.health.setAside(now)
+	case flowpb.StartOutcome_START_OUTCOME_TICKET:
+		delete(r.task.step.tickets, w.info.GetId())
+	}
+	e.options.Log.Info("start refused", "node", w.node, "task", r.task.name(), "run", r.number, "reason", result.GetOutcome().String())
+	e.detach(r, now)
+}
+
+// detach removes a run that has ended or never started; its task waits again unless done.
+func (e *Engine) detach(r *run, now time.Duration) {
+	delete(r.worker.runs, r.id())
+	t := r.task
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	t.waitSince = now
+	e.mark(t.step.job())
+	if r.worker.unused() {
+		delete(e.workers, r.worker.node)
+	}
+}
+
+// lose ends a run that can't be at work any more without word of how it ended.
+func (e *Engine) lose(r *run, now time.Duration, reason string) {
+	e.options.Log.Info("run lost", "node", r.worker.node, "task", r.task.name(), "run", r.number, "reason", reason)
+	e.detach(r, now)
+	e.breakGang(r, now)
+}
+
+// end applies the end of a run that a runner lists.
+func (e *Engine) end(w *worker, end *flowpb.End, now Moment) {
+	r := w.runs[driver.RunID{Task: end.GetTask(), Run: end.GetRun()}]
+	kind := driver.EndKind(end.GetKind())
+	if r == nil {
+		e.options.Log.Info("end of a run that is not assigned", "node", w.node, "task", end.GetTask(), "run", end.GetRun(), "kind", kind.String())
+		return
+	}
+	t, j := r.task, r.task.step.job()
+	e.begin(r, now.Steady)
+	e.detach(r, now.Steady)
+	if end.GetCheckpoint() != "" {
+		t.checkpoint = end.GetCheckpoint()
+	}
+	e.options.Log.Debug("run ended", "node", w.node, "task", t.name(), "run", r.number, "kind", kind.String())
+	switch {
+	case kind == driver.EndDone && !t.step.def.GetLasting():
+		w.health.worked()
+		e.estimates.observe(j.queue.Name, t.step.def, now.Steady-r.started)
+		e.finish(t, now)
+	case kind == driver.EndFailed:
+		e.failed(r, now)
+	default:
+		e.breakGang(r, now.Steady)
+	}
+}
+
+// finish marks a task as done, and what follows from it.
+func (e *Engine) finish(t *task, now Moment) {
+	done := []*task{t}
+	if t.step.def.GetGang() {
+		done = t.step.tasks
+	}
+	for _, d := range done {
+		if !d.done {
+			d.done, d.checkpoint = true, ""
+			d.step.left--
+		}
+		for _, r := range d.runs {
+			if !t.step.def.GetGang() {
+				e.stop(r, now.Steady, "another copy has finished")
+			}
+		}
+	}
+	s := t.step
+	e.mark(s.job())
+	if s.left > 0 {
+		return
+	}
+	s.occurrence.advance(now.Steady)
+	if s.occurrence.done {
+		e.complete(s.job(), now)
+	}
+}
+
+func (e *Engine) complete(j *job, now Moment) {
+	if j.next < j.total() || !j.open() {
+		return
+	}
+	for _, o := range j.occurrences {
+		if !o.done {
+			return
+		}
+	}
+	e.close(j, flowpb.Outcome_OUTCOME_COMPLETED, now, "all tasks are done")
+}
+
+// failed counts an attempt that failed and gives the job up if there were too many.
+func (e *Engine) failed(r *run, now Moment) {
+	t, j := r.task, r.task.step.job()
+	t.failures++
+	t.notBefore = now.Steady + retryPause
+	if t.failedOn == nil {
+		t.failedOn = map[string]bool{}
+	}
+	t.failedOn[r.worker.node] = true
+	r.worker.health.failed(j.id(), now.Steady)
+	failures := t.failures
+	if t.step.def.GetGang() {
+		failures = 0
+		for _, member := range t.step.tasks {
+			failures += member.failures
+		}
+	}
+	e.options.Log.Info("run failed", "node", r.worker.node, "task", t.name(), "run", r.number, "failures", failures, "allowed", j.queue.MaxAttempts)
+	if !t.step.def.GetLasting() && j.queue.MaxAttempts > 0 && int(failures) >= j.queue.MaxAttempts {
+		e.close(j, flowpb.Outcome_OUTCOME_FAILED, now, "task "+t.name()+" has failed too often")
+		return
+	}
+	e.breakGang(r, now.Steady)
+}
+
+// breakGang stops the other members of a gang of which one has ended.
+func (e *Engine) breakGang(r *run, now time.Duration) {
+	if !r.task.step.def.GetGang() {
+		return
+	}
+	for _, t := range r.task.step.tasks {
+		for _, other := range t.runs {
+			if other.number == r.number && other.phase != phaseStopping {
+				e.stop(other, now, "another member of the gang has ended")
+			}
+		}
+	}
+}
+
+// close ends a job and stops what it runs.
+func (e *Engine) close(j *job, outcome flowpb.Outcome, now Moment, reason string) {
+	if !j.open() {
+		return
+	}
+	j.outcome, j.endedUnix = outcome, now.Unix
+	delete(e.open, j.id())
+	e.options.Log.Info("job ends", "job", j.id(), "queue", j.queue.Name, "outcome", outcome.String(), "reason", reason, "age-ms", (now.Steady - j.arrived).Milliseconds())
+	j.live(func(r *run) { e.stop(r, now.Steady, reason) })
+	e.mark(j)
+}
+
+// stop ends a run that is no longer wanted; one that was never sent is dropped.
+func (e *Engine) stop(r *run, now time.Duration, reason string) {
+	if r.phase == phasePlanned {
+		e.detach(r, now)
+		return
+	}
+	if r.phase != phaseStopping {
+		r.phase, r.reason = phaseStopping, reason
+		e.options.Log.Info("run is to stop", "node", r.worker.node, "task", r.task.name(), "run", r.number, "reason", reason)
+	}
+	e.orderStop(r, now)
+}
+
+func (e *Engine) orderStop(r *run, now time.Duration) {
+	r.stopAt = now
+	if r.worker.connected && r.worker.synced {
+		o := e.orders(r.worker)
+		o.Stops = append(o.Stops, &flowpb.Stop{Task: r.task.name(), Run: r.number})
+	}
+}
--- /dev/null
+++ b/internal/flow/engine/engine.go
@@ -0,0 +1,388 @@
+package engine
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+)
+
+const (
+	// tokenShift leaves room for a million synchronisations of runners in one epoch.
+	tokenShift = 20
+	// stopRetry is how long a stop may stay without effect before it is sent again.
+	stopRetry = 500 * time.Millisecond
+	// retryPause keeps a task that failed at once from being started in a tight loop.
+	retryPause = 20 * time.Millisecond
+)
+
+// Options configures an Engine.
+type Options struct {
+	Epoch uint64
+	// Lease is the longest time that a runner may run tasks after a report that was answered.
+	Lease time.Duration
+	// Retention is how long a job can be read after its end.
+	Retention time.Duration
+	// FarFactor is how many times as long a task takes away from the rack of its data.
+	FarFactor float64
+	// LateFactor is how many objectives after its arrival a job is worth nothing any more.
+	LateFactor float64
+	Log        *slog.Logger
+}
+
+// Engine is the control state of a cell's jobs; it is not safe for concurrent use.
+type Engine struct {
+	options Options
+	jobs    map[string]*job
+	open    map[string]*job
+	workers map[string]*worker
+	queues  map[string]Queue
+	tokens  uint64
+	dirty   []*job
+	deleted []string
+	out     Effects
+	// grantUntil bounds all leases: until then nobody else can own the cell.
+	grantUntil time.Duration
+	// storeFailing tells that commits do not get through.
+	storeFailing bool
+	stirred      bool
+	// inFlight counts batches that were taken and are not committed.
+	inFlight  int
+	paced     time.Duration
+	estimates estimates
+}
+
+// Reply answers a call.
+type Reply struct {
+	Call       uint64
+	Status     flowpb.Status
+	RetryAfter time.Duration
+	State      string
+	Pending    int64
+	Detail     string
+}
+
+// Effects are what the caller has to carry out: orders by node, and replies.
+type Effects struct {
+	Orders  map[string]*flowpb.Orders
+	Replies []Reply
+}
+
+// Batch is a set of changes that is stored at once, and what follows from it.
+type Batch struct {
+	changes []Change
+	runs    []*run
+	shown   []shown
+	settled map[*worker]uint64
+}
+
+type shown struct {
+	job     *job
+	outcome flowpb.Outcome
+	replies []uint64
+}
+
+// Changes returns what has to be stored.
+func (b *Batch) Changes() []Change { return b.changes }
+
+// New returns an Engine without jobs.
+func New(o Options) *Engine {
+	return &Engine{
+		options: o, jobs: map[string]*job{}, open: map[string]*job{}, workers: map[string]*worker{},
+		queues: map[string]Queue{}, tokens: o.Epoch << tokenShift, estimates: estimates{},
+		out: Effects{Orders: map[string]*flowpb.Orders{}},
+	}
+}
+
+// Restore adds a stored job. What it had assigned is taken to run until the runner says
+// otherwise or the longest lease that an earlier owner can have granted has passed.
+func (e *Engine) Restore(def *flowpb.Job, p *flowpb.Progress, now Moment) error {
+	if def.GetTerms() == nil {
+		def.Terms = &flowpb.Terms{}
+	}
+	j, err := restore(def, p, now.Steady, func(t *task, a *flowpb.Assignment) {
+		w := e.worker(a.GetNode())
+		w.leaseEnd = leaseOf(now.Steady, e.options.Lease)
+		r := &run{task: t, number: a.GetRun(), phase: phaseOrdered, ordered: now.Steady, need: t.step.need(), pace: 100, wanted: 100, cpu: t.step.def.GetMilliCpu(), life: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
+		t.runs = append(t.runs, r)
+		w.attach(r)
+	})
+	if err != nil {
+		return err
+	}
+	j.arrived = now.Steady - time.Duration(max(0, now.Unix-def.GetAcceptedUnixMillis()))*time.Millisecond
+	e.jobs[j.id()] = j
+	if j.open() {
+		e.open[j.id()] = j
+	}
+	e.stirred = true
+	return nil
+}
+
+// Configure sets the queues; those that are gone keep their terms for accepted jobs.
+func (e *Engine) Configure(queues map[string]Queue) {
+	e.queues = queues
+	for _, j := range e.open {
+		if q, known := queues[j.queue.Name]; known {
+			j.queue = q
+		}
+	}
+	e.stirred = true
+}
+
+// SetGrantUntil sets until when, on the steady clock, no other owner can exist.
+func (e *Engine) SetGrantUntil(until time.Duration) { e.grantUntil = max(e.grantUntil, until) }
+
+// SetStoreFailing tells whether commits get through; new jobs are refused while they don't.
+func (e *Engine) SetStoreFailing(failing bool) { e.storeFailing = failing }
+
+func (e *Engine) worker(node string) *worker {
+	w := e.workers[node]
+	if w == nil {
+		w = newWorker(node)
+		e.workers[node] = w
+	}
+	return w
+}
+
+func (e *Engine) mark(j *job) {
+	e.stirred = true
+	if !j.dirty {
+		j.dirty = true
+		e.dirty = append(e.dirty, j)
+	}
+}
+
+// Dirty reports whether there is anything to store.
+func (e *Engine) Dirty() bool { return len(e.dirty) > 0 || len(e.deleted) > 0 }
+
+// Take returns what has to be stored now, at most limit jobs, or nil.
+func (e *Engine) Take(limit int) *Batch {
+	if !e.Dirty() {
+		return nil
+	}
+	b := &Batch{settled: map[*worker]uint64{}}
+	e.inFlight++
+	taken := e.dirty[:min(limit, len(e.dirty))]
+	for _, j := range taken {
+		c := Change{ID: j.id(), Progress: j.progress()}
+		if !j.durable {
+			c.Job = j.def
+		}
+		b.changes = append(b.changes, c)
+		b.shown = append(b.shown, shown{job: j, outcome: j.outcome, replies: append(j.replies, j.cancels...)})
+		j.dirty, j.replies, j.cancels = false, nil, nil
+		j.live(func(r *run) {
+			if r.phase == phasePlanned && !r.stored {
+				r.stored = true
+				b.runs = append(b.runs, r)
+			}
+		})
+	}
+	e.dirty = slices.Clone(e.dirty[len(taken):])
+	room := min(limit-len(taken), len(e.deleted))
+	for _, id := range e.deleted[:room] {
+		b.changes = append(b.changes, Change{ID: id})
+	}
+	e.deleted = slices.Clone(e.deleted[room:])
+	if len(e.dirty) == 0 {
+		// Every end that was taken so far is in this batch or an earlier one.
+		for _, w := range e.workers {
+			if w.taken > w.settled {
+				b.settled[w] = w.taken
+			}
+		}
+	}
+	return b
+}
+
+// Committed carries on after a batch has been stored.
+func (e *Engine) Committed(b *Batch, now Moment) {
+	e.inFlight--
+	for _, s := range b.shown {
+		s.job.durable = true
+		s.job.shown = s.outcome
+		for _, call := range s.replies {
+			e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_OK, State: s.job.state()})
+		}
+	}
+	for _, r := range b.runs {
+		if r.worker.runs[r.id()] == r && r.phase == phasePlanned {
+			e.send(r, now.Steady)
+		}
+	}
+	for w, n := range b.settled {
+		e.settle(w, n)
+	}
+}
+
+// send orders a durable run to start.
+func (e *Engine) send(r *run, now time.Duration) {
+	r.phase, r.ordered, r.advanced = phaseOrdered, now, now
+	w := r.worker
+	if !w.connected || !w.synced {
+		// The synchronisation that follows settles that it never started.
+		return
+	}
+	s := r.task.step
+	start := &flowpb.Start{Task: r.task.name(), Run: r.number, Spec: s.job().def.GetSpec(), Checkpoint: r.checkpoint}
+	if t, known := s.tickets[w.info.GetId()]; known {
+		start.Ticket = t.text
+	}
+	o := e.orders(w)
+	o.Starts = append(o.Starts, start)
+}
+
+func (e *Engine) settle(w *worker, number uint64) {
+	if number > w.settled {
+		w.settled = number
+		e.orders(w)
+	}
+}
+
+// orders returns the orders to a worker that are carried out next.
+func (e *Engine) orders(w *worker) *flowpb.Orders {
+	o := e.out.Orders[w.node]
+	if o == nil {
+		o = &flowpb.Orders{}
+		e.out.Orders[w.node] = o
+	}
+	o.Token, o.Settled = w.token, w.settled
+	return o
+}
+
+func (e *Engine) reply(r Reply) { e.out.Replies = append(e.out.Replies, r) }
+
+// Effects returns what has to be carried out now.
+func (e *Engine) Effects() Effects {
+	out := e.out
+	e.out = Effects{Orders: map[string]*flowpb.Orders{}}
+	return out
+}
+
+// state returns what the job's reader sees.
+func (j *job) state() string {
+	switch j.shown {
+	case flowpb.Outcome_OUTCOME_COMPLETED:
+		return "completed"
+	case flowpb.Outcome_OUTCOME_FAILED:
+		return "failed"
+	case flowpb.Outcome_OUTCOME_CANCELLED:
+		return "cancelled"
+	}
+	if j.begun {
+		return "running"
+	}
+	return "queued"
+}
+
+// Tick does what time alone brings about, and places what waits.
+func (e *Engine) Tick(now Moment) {
+	for _, w := range e.workers {
+		e.watch(w, now.Steady)
+	}
+	e.beginDue(now)
+	e.expire(now)
+	e.pace(now.Steady)
+	e.stirred = true
+	e.Place(now)
+}
+
+// watch loses what ran on a worker whose lease has ended, and repeats stops.
+func (e *Engine) watch(w *worker, now time.Duration) {
+	if len(w.runs) > 0 && now > w.leaseEnd {
+		e.options.Log.Warn("lease of a runner ended without a report", "node", w.node, "runner", w.info.GetId(), "runs", len(w.runs), "last-report-age-ms", (now - w.reported).Milliseconds())
+		w.synced = false
+		for _, r := range w.runs {
+			e.lose(r, now, "lease ended")
+		}
+		if w.connected {
+			e.orders(w).Resync = true
+		}
+	}
+	if w.connected && !w.synced && now-w.resyncAt > stopRetry {
+		w.resyncAt = now
+		e.orders(w).Resync = true
+	}
+	if !w.connected || !w.synced {
+		return
+	}
+	for _, r := range w.runs {
+		if r.phase == phaseStopping && now-r.stopAt > stopRetry {
+			e.orderStop(r, now)
+		}
+	}
+	for id, at := range w.foreign {
+		if now-at > stopRetry {
+			w.foreign[id] = now
+			e.orders(w).Stops = append(e.orders(w).Stops, &flowpb.Stop{Task: id.Task, Run: id.Run})
+		}
+	}
+}
+
+// beginDue begins the occurrences whose time has come.
+func (e *Engine) beginDue(now Moment) {
+	for _, j := range e.open {
+		for j.def.GetOccurrences() > 0 && j.next < j.total() && now.Unix >= j.due(j.next) {
+			o := newOccurrence(j, j.next, now.Steady)
+			o.began = now.Steady - time.Duration(now.Unix-j.due(j.next))*time.Millisecond
+			o.advance(now.Steady)
+			j.occurrences = append(j.occurrences, o)
+			j.next++
+			e.mark(j)
+		}
+	}
+}
+
+// expire forgets jobs that ended long ago.
+func (e *Engine) expire(now Moment) {
+	for id, j := range e.jobs {
+		if !j.open() && j.durable && !j.dirty && now.Unix-j.endedUnix > e.options.Retention.Milliseconds() {
+			live := false
+			j.live(func(*run) { live = true })
+			if !live {
+				delete(e.jobs, id)
+				e.deleted = append(e.deleted, id)
+			}
+		}
+	}
+}
+
+// sortedWorkers returns the workers by name, so that decisions don't depend on map order.
+func (e *Engine) sortedWorkers() []*worker {
+	workers := make([]*worker, 0, len(e.workers))
+	for _, w := range e.workers {
+		workers = append(workers, w)
+	}
+	slices.SortFunc(workers, func(a, b *worker) int { return strings.Compare(a.node, b.node) })
+	return workers
+}
+
+// Stats are counts for metrics.
+type Stats struct {
+	Jobs, Open, Workers, Synced, Runs int
+}
+
+// Stats returns counts of what the engine holds.
+func (e *Engine) Stats() (s Stats) {
+	s.Jobs, s.Open, s.Workers = len(e.jobs), len(e.open), len(e.workers)
+	for _, w := range e.workers {
+		s.Runs += len(w.runs)
+		if w.synced {
+			s.Synced++
+		}
+	}
+	return s
+}
+
+// Connected returns how many agents have an open session.
+func (e *Engine) Connected() (connected int) {
+	for _, w := range e.workers {
+		if w.connected {
+			connected++
+		}
+	}
+	return connected
+}
--- /dev/null
+++ b/internal/flow/engine/job.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+)
+
+// Bounds on what a job may ask for, so that one job can't exhaust an owner's memory.
+const (
+	maxSteps = 1_000
+	maxTasks = 20_000
+)
+
+// ErrInvalid tells that a job can't be taken as it is written.
+var ErrInvalid = errors.New("engine: invalid job")
+
+// Check returns ErrInvalid with a reason if a job is malformed.
+func Check(def *flowpb.Job) error {
+	if len(def.GetSteps()) == 0 || len(def.GetSteps()) > maxSteps {
+		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrInvalid, len(def.GetSteps()), maxSteps)
+	}
+	tasks := 0
+	for i, s := range def.GetSteps() {
+		if s.GetCount() == 0 || s.GetMilliCpu() < 0 || s.GetMemoryMb() < 0 || s.GetAccelerators() < 0 {
+			return fmt.Errorf("%w: step %d has no tasks or negative needs", ErrInvalid, i)
+		}
+		tasks += int(min(s.GetCount(), maxTasks+1))
+		for _, a := range s.GetAfter() {
+			if int(a) >= i {
+				return fmt.Errorf("%w: step %d waits for step %d, which is not an earlier one", ErrInvalid, i, a)
+			}
+		}
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("%w: more than %d tasks", ErrInvalid, maxTasks)
+	}
+	if def.GetOccurrences() > 0 && def.GetIntervalMillis() < 0 {
+		return fmt.Errorf("%w: negative interval", ErrInvalid)
+	}
+	return nil
+}
+
+func newOccurrence(j *job, number int, now time.Duration) *occurrence {
+	o := &occurrence{job: j, number: number, began: now}
+	for i, def := range j.def.GetSteps() {
+		s := &step{occurrence: o, def: def, number: i, left: int(def.GetCount())}
+		for index := range int(def.GetCount()) {
+			s.tasks = append(s.tasks, &task{step: s, index: index, waitSince: now})
+		}
+		o.steps = append(o.steps, s)
+	}
+	o.measureChains()
+	return o
+}
+
+// measureChains sets for each step the estimate of the longest chain of work from it on.
+func (o *occurrence) measureChains() {
+	for i := len(o.steps) - 1; i >= 0; i-- {
+		s := o.steps[i]
+		s.chain = max(s.chain, 0) + s.def.GetEstimateMillis()
+		for _, a := range s.def.GetAfter() {
+			before := o.steps[a]
+			before.chain = max(before.chain, s.chain)
+		}
+	}
+}
+
+// longestChain returns the estimate of the longest chain of work of the occurrence.
+func (o *occurrence) longestChain() (longest int64) {
+	for _, s := range o.steps {
+		longest = max(longest, s.chain)
+	}
+	return longest
+}
+
+// advance marks steps whose predecessors are done as ready, and the occurrence as done if
+// all its steps are.
+func (o *occurrence) advance(now time.Duration) {
+	left := false
+	for _, s := range o.steps {
+		left = left || s.left > 0
+		if s.ready || s.left == 0 {
+			continue
+		}
+		ready := true
+		for _, a := range s.def.GetAfter() {
+			ready = ready && o.steps[a].left == 0
+		}
+		if ready {
+			s.ready, s.readyAt = true, now
+			for _, t := range s.tasks {
+				t.waitSince = now
+			}
+		}
+	}
+	o.done = !left
+}
+
+// live calls f for each live run of the job.
+func (j *job) live(f func(*run)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for i := len(t.runs) - 1; i >= 0; i-- {
+					f(t.runs[i])
+				}
+			}
+		}
+	}
+}
+
+func (j *job) occurrence(number int) *occurrence {
+	for _, o := range j.occurrences {
+		if o.number == number {
+			return o
+		}
+	}
+	return nil
+}
+
+// progress encodes what must survive of the job.
+func (j *job) progress() *flowpb.Progress {
+	p := &flowpb.Progress{Outcome: j.outcome, EndedUnixMillis: j.endedUnix, Begun: j.begun}
+	if !j.open() {
+		return p
+	}
+	for _, o := range j.occurrences {
+		record := &flowpb.Occurrence{Number: uint32(o.number), Done: o.done}
+		if !o.done {
+			for _, s := range o.steps {
+				for _, t := range s.tasks {
+					record.Tasks = append(record.Tasks, t.progress())
+				}
+			}
+		}
+		p.Occurrences = append(p.Occurrences, record)
+	}
+	return p
+}
+
+func (t *task) progress() *flowpb.TaskProgress {
+	p := &flowpb.TaskProgress{Done: t.done, Run: t.lastRun, Failures: t.failures}
+	if t.done {
+		return p
+	}
+	p.Checkpoint = t.checkpoint
+	for _, r := range t.runs {
+		p.Assignments = append(p.Assignments, &flowpb.Assignment{Run: r.number, Node: r.worker.node, Runner: r.life.GetId(), Born: r.life.GetBorn()})
+	}
+	return p
+}
+
+// restore rebuilds a job from its records. Assignments are given to assign.
+func restore(def *flowpb.Job, p *flowpb.Progress, now time.Duration, assign func(*task, *flowpb.Assignment)) (j *job, err error) {
+	if err = Check(def); err != nil {
+		return nil, err
+	}
+	j = &job{def: def, queue: queueOf(def.GetQueue(), def.GetTerms()), outcome: p.GetOutcome(), shown: p.GetOutcome(), endedUnix: p.GetEndedUnixMillis(), durable: true, begun: p.GetBegun(), arrived: now}
+	for _, record := range p.GetOccurrences() {
+		o := newOccurrence(j, int(record.GetNumber()), now)
+		if err = o.restore(record, assign); err != nil {
+			return nil, err
+		}
+		o.advance(now)
+		j.occurrences = append(j.occurrences, o)
+		j.next = max(j.next, o.number+1)
+	}
+	return j, nil
+}
+
+func (o *occurrence) restore(record *flowpb.Occurrence, assign func(*task, *flowpb.Assignment)) error {
+	records := record.GetTasks()
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if record.GetDone() {
+				t.done = true
+				s.left--
+				continue
+			}
+			if len(records) == 0 {
+				return fmt.Errorf("engine: progress of job %s lacks tasks", o.job.id())
+			}
+			p := records[0]
+			records = records[1:]
+			t.lastRun, t.failures, t.checkpoint = p.GetRun(), p.GetFailures(), p.GetCheckpoint()
+			if p.GetDone() {
+				t.done = true
+				s.left--
+				continue
+			}
+			for _, a := range p.GetAssignments() {
+				assign(t, a)
+			}
+		}
+	}
+	return nil
+}
+
+// Change is what has to be stored of one job; a nil Progress deletes the job.
+type Change struct {
+	ID       string
+	Job      *flowpb.Job
+	Progress *flowpb.Progress
+}
+
+// Encode returns the stored form of the change; job is nil unless it is new.
+func (c Change) Encode() (job, progress []byte, err error) {
+	if c.Job != nil {
+		if job, err = proto.Marshal(c.Job); err != nil {
+			return nil, nil, err
+		}
+	}
+	progress, err = proto.Marshal(c.Progress)
+	return job, progress, err
+}
--- /dev/null
+++ b/internal/flow/engine/order.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Prospect tells what a waiting step can still bring in.
+type Prospect uint8
+
+// Prospects, the best first.
+const (
+	// ProspectInTime steps belong to jobs that can still meet their objective.
+	ProspectInTime Prospect = iota
+	// ProspectLate steps belong to jobs that can be done late, for less.
+	ProspectLate
+	// ProspectNone steps belong to jobs that bring in nothing any more.
+	ProspectNone
+)
+
+// Claim is a step with tasks that wait, as the order of the queue sees it.
+type Claim struct {
+	step     *step
+	Name     string
+	Priority int
+	Lasting  bool
+	Prospect Prospect
+	// Slack is how much longer the step may wait for its job to be in time.
+	Slack time.Duration
+}
+
+// Order sorts claims by who is to be placed first: lasting tasks, which earn from the
+// moment they run; then by priority; then jobs whose objective is in reach before those
+// that are late, so that under overload the late don't drag the others with them; and
+// among equals the one with the least slack.
+func Order(claims []Claim) {
+	slices.SortFunc(claims, func(a, b Claim) int {
+		return cmp.Or(
+			compareTrueFirst(a.Lasting, b.Lasting),
+			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(a.Prospect, b.Prospect),
+			cmp.Compare(a.Slack, b.Slack),
+			strings.Compare(a.Name, b.Name),
+		)
+	})
+}
+
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// claims lists the steps with tasks that wait, in order.
+func (e *Engine) claims(now time.Duration) []Claim {
+	var claims []Claim
+	for _, j := range e.open {
+		for _, o := range j.occurrences {
+			if o.done {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.ready && s.left > 0 && s.waits(now) {
+					claims = append(claims, e.claim(s, now))
+				}
+			}
+		}
+	}
+	Order(claims)
+	return claims
+}
+
+func (s *step) waits(now time.Duration) bool {
+	for _, t := range s.tasks {
+		if t.waits(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) claim(s *step, now time.Duration) Claim {
+	j, o := s.job(), s.occurrence
+	c := Claim{step: s, Name: s.name(), Priority: j.queue.Priority, Lasting: s.def.GetLasting()}
+	began := j.arrived
+	if j.def.GetOccurrences() > 0 {
+		began = o.began
+	}
+	objective := time.Duration(j.queue.Stretch*e.estimates.millis(j.queue.Name, o.longestChain()))*time.Millisecond + j.queue.Target
+	left := time.Duration(e.estimates.millis(j.queue.Name, s.chain)) * time.Millisecond
+	c.Slack = began + objective - now - left
+	late := began + time.Duration(e.options.LateFactor*float64(objective)) - now - left
+	switch {
+	case c.Slack >= 0:
+		c.Prospect = ProspectInTime
+	case late >= 0:
+		c.Prospect = ProspectLate
+	default:
+		c.Prospect = ProspectNone
+	}
+	return c
+}
--- /dev/null
+++ b/internal/flow/engine/place.go
@@ -0,0 +1,334 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+)
+
+const (
+	// fullPause is how long a runner that refused a task for want of room gets no other.
+	fullPause = 300 * time.Millisecond
+	// preemptPause is how long a step that preempted waits before it does so again.
+	preemptPause = 500 * time.Millisecond
+)
+
+// seat is a worker during one placement round.
+type seat struct {
+	worker *worker
+	free   driver.Resources
+	// idle are the processors that tasks which fill may still use, in thousandths.
+	idle    int64
+	serving bool
+	fills   int
+	rack    string
+}
+
+// Place starts what waits where there is room, in order.
+func (e *Engine) Place(now Moment) {
+	if !e.stirred {
+		return
+	}
+	e.stirred = false
+	claims := e.claims(now.Steady)
+	if len(claims) == 0 {
+		return
+	}
+	seats := e.seats(now.Steady)
+	for _, c := range claims {
+		e.placeStep(c, seats, now.Steady)
+	}
+}
+
+func (e *Engine) seats(now time.Duration) []*seat {
+	var seats []*seat
+	for _, w := range e.sortedWorkers() {
+		if !w.usable(now) || now < w.fullUntil || !w.health.admits(now, len(w.runs)) {
+			continue
+		}
+		s := &seat{worker: w, free: w.free(), idle: w.idle(), serving: w.serving(), rack: w.rack()}
+		for _, r := range w.runs {
+			if r.task.step.def.GetFills() {
+				s.fills++
+			}
+		}
+		seats = append(seats, s)
+	}
+	return seats
+}
+
+func (e *Engine) placeStep(c Claim, seats []*seat, now time.Duration) {
+	s := c.step
+	if s.def.GetGang() {
+		e.placeGang(s, seats, now)
+		return
+	}
+	short := false
+	for _, t := range s.tasks {
+		if !t.waits(now) {
+			continue
+		}
+		best := e.bestSeat(t, seats, "")
+		if best == nil {
+			short = true
+			continue
+		}
+		e.plan(t, best, t.lastRun+1, now)
+	}
+	if short && (c.Priority == 0 || c.Lasting) {
+		e.preempt(s, now)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (e *Engine) placeGang(s *step, seats []*seat, now time.Duration) {
+	number := uint32(0)
+	for _, t := range s.tasks {
+		if !t.waits(now) {
+			return
+		}
+		number = max(number, t.lastRun)
+	}
+	racks := []string{""}
+	if s.def.GetSameRack() {
+		racks = append(racksOf(seats), "")
+	}
+	for _, rack := range racks {
+		chosen := e.gangSeats(s, seats, rack)
+		if chosen == nil {
+			continue
+		}
+		checkpoint := s.tasks[0].checkpoint
+		for i, t := range s.tasks {
+			t.checkpoint = checkpoint
+			e.planned(t, chosen[i], number+1, now)
+		}
+		return
+	}
+}
+
+// gangSeats reserves a seat for each task of a gang, or nothing.
+func (e *Engine) gangSeats(s *step, seats []*seat, rack string) []*seat {
+	var chosen []*seat
+	for _, t := range s.tasks {
+		best := e.bestSeat(t, seats, rack)
+		if best == nil {
+			for _, c := range chosen {
+				c.give(s)
+			}
+			return nil
+		}
+		best.take(s)
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+func racksOf(seats []*seat) (racks []string) {
+	known := map[string]bool{}
+	for _, s := range seats {
+		if !known[s.rack] {
+			known[s.rack] = true
+			racks = append(racks, s.rack)
+		}
+	}
+	return racks
+}
+
+func (p *seat) take(s *step) {
+	p.free = p.free.Minus(s.need())
+	if s.def.GetFills() {
+		p.idle -= s.def.GetMilliCpu()
+		p.fills++
+	} else {
+		p.idle -= s.need().MilliCPU()
+	}
+	p.serving = p.serving || s.serves()
+}
+
+func (p *seat) give(s *step) {
+	p.free = p.free.Plus(s.need())
+	if s.def.GetFills() {
+		p.idle += s.def.GetMilliCpu()
+		p.fills--
+	} else {
+		p.idle += s.need().MilliCPU()
+	}
+}
+
+// bestSeat returns where a task is placed best, or nil.
+func (e *Engine) bestSeat(t *task, seats []*seat, rack string) *seat {
+	var best *seat
+	bestScore := 0.0
+	for _, p := range seats {
+		if rack != "" && p.rack != rack || !e.allowed(t, p) {
+			continue
+		}
+		if score := e.score(t, p); best == nil || score > bestScore {
+			best, bestScore = p, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether the rules let a task run on a seat and it has room.
+func (e *Engine) allowed(t *task, p *seat) bool {
+	s, w := t.step, p.worker
+	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) || !s.need().Fits(p.free) {
+		return false
+	}
+	if s.def.GetFills() && p.idle < s.def.GetMilliCpu() {
+		return false
+	}
+	if s.job().queue.Advised {
+		if _, ticketed := s.tickets[w.info.GetId()]; !ticketed {
+			return false
+		}
+	}
+	if most := s.def.GetMaxPerRunner(); most > 0 {
+		same := uint32(0)
+		for _, r := range w.runs {
+			if r.task.step == s {
+				same++
+			}
+		}
+		if same >= most {
+			return false
+		}
+	}
+	return true
+}
+
+// Weights of a placement. Tasks that fill harm tasks that serve beside them, so the two are
+// kept apart while there is room; tasks that serve are packed, which leaves whole workers to
+// the others; all others take the room beside tasks that serve first.
+const (
+	weightApart     = 100.0
+	weightBeside    = 10.0
+	weightRack      = 1000.0
+	weightFailedOn  = 500.0
+	weightFit       = 1.0
+	weightFillsHere = 5.0
+)
+
+func (e *Engine) score(t *task, p *seat) float64 {
+	s := t.step
+	capacity := float64(max(p.worker.info.GetMilliCpu(), 1))
+	score := 0.0
+	if near := s.def.GetNearRack(); near != "" && p.rack != near && !p.worker.hasLabel(near) {
+		score -= weightRack
+	}
+	if t.failedOn[p.worker.node] {
+		score -= weightFailedOn
+	}
+	free := float64(p.free.MilliCPU()) / capacity
+	switch {
+	case s.def.GetFills():
+		if p.serving {
+			score -= weightApart
+		}
+		score += weightFit * float64(p.idle) / capacity
+	case s.serves():
+		score -= weightFillsHere * float64(p.fills)
+		if p.serving {
+			score += weightBeside
+		}
+		score -= weightFit * free
+	default:
+		if p.serving {
+			score += weightBeside
+		}
+		score += weightFit * free
+	}
+	return score
+}
+
+// plan reserves a seat for a run of a task.
+func (e *Engine) plan(t *task, p *seat, number uint32, now time.Duration) {
+	p.take(t.step)
+	e.planned(t, p, number, now)
+}
+
+// planned adds a run; it is sent once it is durable.
+func (e *Engine) planned(t *task, p *seat, number uint32, now time.Duration) {
+	s := t.step
+	r := &run{task: t, number: number, need: s.need(), pace: 100, wanted: 100, cpu: s.def.GetMilliCpu(), life: p.worker.info, checkpoint: t.checkpoint, advanced: now}
+	t.lastRun = number
+	t.runs = append(t.runs, r)
+	p.worker.attach(r)
+	e.mark(s.job())
+	e.options.Log.Info("task placed", "task", t.name(), "run", number, "node", p.worker.node, "wait-ms", (now - t.waitSince).Milliseconds(), "resumes", t.checkpoint != "", "report-age-ms", (now - p.worker.reported).Milliseconds())
+}
+
+// preempt stops work of a lower priority where the least is lost, so that a task of the
+// step finds room in a later round.
+func (e *Engine) preempt(s *step, now time.Duration) {
+	if now-s.preemptedAt < preemptPause && s.preemptedAt > 0 {
+		return
+	}
+	var victims []*run
+	cost := 0.0
+	for _, w := range e.sortedWorkers() {
+		if !w.usable(now) || w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) {
+			continue
+		}
+		if v, c := e.victims(w, s, now); v != nil && (victims == nil || c < cost) {
+			victims, cost = v, c
+		}
+	}
+	if victims == nil {
+		return
+	}
+	s.preemptedAt = now
+	for _, r := range victims {
+		e.stop(r, now, "room for "+s.name())
+	}
+}
+
+// victims returns runs of a lower priority that make room for a task of the step on a
+// worker, and the work that would be lost.
+func (e *Engine) victims(w *worker, s *step, now time.Duration) (victims []*run, cost float64) {
+	free := w.free()
+	for _, r := range w.runs {
+		// What is on its way out makes room by itself.
+		if r.phase == phaseStopping {
+			free = free.Plus(r.need)
+		}
+	}
+	if s.need().Fits(free) {
+		return nil, 0
+	}
+	for {
+		var next *run
+		nextLoss := 0.0
+		for _, r := range w.runs {
+			if r.phase != phaseStarted || r.task.step.job().queue.Priority <= s.job().queue.Priority || r.task.step.def.GetLasting() || r.task.step.def.GetGang() || r.need.MilliCPU() == 0 || contains(victims, r) {
+				continue
+			}
+			loss := float64(r.cpu) * float64((now - r.started).Milliseconds())
+			if r.task.step.def.GetCheckpoints() {
+				loss /= 4
+			}
+			if next == nil || loss < nextLoss {
+				next, nextLoss = r, loss
+			}
+		}
+		if next == nil {
+			return nil, 0
+		}
+		victims, cost = append(victims, next), cost+nextLoss
+		free = free.Plus(next.need)
+		if s.need().Fits(free) {
+			return victims, cost
+		}
+	}
+}
+
+func contains(runs []*run, r *run) bool {
+	for _, other := range runs {
+		if other == r {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/flow/engine/worker.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+)
+
+const (
+	// clockDrift is how much slower than ours a runner's clock may run, in parts of 1.
+	clockDrift = 0.02
+	// leaseMargin covers scheduling delays between a lease's end and what it kills.
+	leaseMargin = 150 * time.Millisecond
+	// reportSilence is how old a report may be for new tasks to be placed on its runner.
+	reportSilence = 1600 * time.Millisecond
+)
+
+// worker is a VM with an agent and its runner.
+type worker struct {
+	node string
+	info *flowpb.Runner
+	// token fences orders to the runner; it is 0 while the agent has not synchronised.
+	token uint64
+	// connected tells that a session with the agent is open.
+	connected bool
+	// synced tells that the runner has listed what it holds under the token.
+	synced bool
+	// leaseEnd is when nothing that was granted can run any more.
+	leaseEnd time.Duration
+	reported time.Duration
+	report   uint64
+	runs     map[driver.RunID]*run
+	// foreign are runs that the runner holds and nobody asked for any more.
+	foreign map[driver.RunID]time.Duration
+	// settled is the number of the last end whose effect is durable; taken may be ahead.
+	settled uint64
+	taken   uint64
+	// resyncAt is when the agent was last asked to synchronise.
+	resyncAt time.Duration
+	health   health
+	// pace is that of tasks which fill, in percent.
+	pace int
+	// full is until when the runner is taken to have less room than it says.
+	fullUntil time.Duration
+}
+
+func newWorker(node string) *worker {
+	return &worker{node: node, pace: 100, info: &flowpb.Runner{}, runs: map[driver.RunID]*run{}, foreign: map[driver.RunID]time.Duration{}}
+}
+
+func (w *worker) capacity() driver.Resources {
+	return driver.NewResources(w.info.GetMilliCpu(), w.info.GetMemoryMb()<<20, w.info.GetAccelerators())
+}
+
+// free returns what no live run reserves; runs that are being stopped still do.
+func (w *worker) free() driver.Resources {
+	free := w.capacity()
+	for _, r := range w.runs {
+		free = free.Minus(r.need)
+	}
+	return free
+}
+
+// idle returns the processors, in thousandths, that tasks which fill may still use.
+func (w *worker) idle() int64 {
+	idle := w.free().MilliCPU()
+	for _, r := range w.runs {
+		if r.task.step.def.GetFills() {
+			idle -= r.cpu * int64(r.pace) / 100
+		}
+	}
+	return idle
+}
+
+// serving reports whether a task on the worker serves its own users.
+func (w *worker) serving() bool {
+	for _, r := range w.runs {
+		if r.task.step.serves() {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) rack() string {
+	labels := w.info.GetLabels()
+	if len(labels) == 0 {
+		return ""
+	}
+	return labels[len(labels)-1]
+}
+
+// usable reports whether new tasks may be placed on the worker.
+func (w *worker) usable(now time.Duration) bool {
+	return w.connected && w.synced && !w.info.GetDraining() && !w.info.GetUnhealthy() &&
+		now-w.reported < reportSilence && len(w.foreign) == 0
+}
+
+// unused reports whether nothing is known to be on the worker and nobody speaks for it.
+func (w *worker) unused() bool { return !w.connected && len(w.runs) == 0 }
+
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.info.GetLabels(), label)
+}
+
+// sameLife reports whether both are one incarnation of a runner.
+func sameLife(a, b *flowpb.Runner) bool {
+	return a.GetId() == b.GetId() && a.GetBorn() == b.GetBorn()
+}
+
+// attach ties a new run to the worker.
+func (w *worker) attach(r *run) {
+	r.worker = w
+	w.runs[r.id()] = r
+}
+
+// leaseOf returns the bound of a lease granted at a moment, on the steady clock.
+func leaseOf(now, grant time.Duration) time.Duration {
+	return now + grant + time.Duration(float64(grant)*clockDrift) + leaseMargin
+}
--- /dev/null
+++ b/internal/flow/entry/document.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/jasminebay/jasminebay/internal/flow/engine"
+)
+
+// Route leads from a host and a path prefix to a queue.
+type Route struct {
+	Host   string
+	Prefix string
+	Queue  engine.Queue
+}
+
+// Document is the configuration of the queues.
+type Document struct {
+	Version uint64
+	Routes  []Route
+	// BodyBytes bounds the body of a call; 0 sets no bound of its own.
+	BodyBytes int64
+}
+
+// queues returns the queues by name.
+func (d *Document) queues() map[string]engine.Queue {
+	queues := make(map[string]engine.Queue, len(d.Routes))
+	for _, r := range d.Routes {
+		queues[r.Queue.Name] = r.Queue
+	}
+	return queues
+}
+
+// holder keeps the newest document; it is safe for concurrent use.
+type holder struct {
+	mu       sync.RWMutex
+	document *Document
+	// byHost holds the routes of each host, the longest prefix first.
+	byHost map[string][]Route
+}
+
+// apply takes in a document unless a newer one is in force.
+func (h *holder) apply(d *Document) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.document != nil && d.Version <= h.document.Version {
+		return false
+	}
+	h.document, h.byHost = d, map[string][]Route{}
+	for _, r := range d.Routes {
+		routes := h.byHost[r.Host]
+		at := 0
+		for at < len(routes) && len(routes[at].Prefix) >= len(r.Prefix) {
+			at++
+		}
+		routes = append(routes[:at:at], append([]Route{r}, routes[at:]...)...)
+		h.byHost[r.Host] = routes
+	}
+	return true
+}
+
+func (h *holder) current() *Document {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.document
+}
+
+// match returns the route of the longest prefix that the path begins with.
+func (h *holder) match(host, path string) (Route, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, r := range h.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
--- /dev/null
+++ b/internal/flow/link/link.go
@@ -0,0 +1,140 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/loop"
+	"github.com/jasminebay/jasminebay/internal/peer"
+)
+
+const (
+	// DialTimeout bounds how long a connection attempt may take; the VMs are milliseconds apart.
+	DialTimeout = 600 * time.Millisecond
+	// HelloTimeout bounds the introduction.
+	HelloTimeout = time.Second
+	// writeTimeout ends a link whose other side does not read.
+	writeTimeout = 2 * time.Second
+	// outboxFrames bounds what waits to be sent; a link that falls so far behind is ended.
+	outboxFrames = 4096
+)
+
+// Link is a connection to another process; Send is safe for concurrent use.
+type Link struct {
+	session *peer.Session
+	stream  *peer.Stream
+	outbox  chan *flowpb.Frame
+	ended   chan struct{}
+	once    sync.Once
+	written <-chan struct{}
+	// Hello is what the dialling side said of itself.
+	Hello *flowpb.Hello
+}
+
+// Dial connects to the owner at address and introduces hello.
+func Dial(ctx context.Context, address string, hello *flowpb.Hello) (l *Link, welcome *flowpb.Welcome, err error) {
+	defer errs.Annotate(&err, "link: dial %s", address)
+	session, err := peer.Connect(ctx, address, DialTimeout)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := session.Open()
+	if err != nil {
+		session.Close()
+		return nil, nil, err
+	}
+	stream.SetDeadline(time.Now().Add(HelloTimeout))
+	frame := &flowpb.Frame{}
+	if err = stream.SendMessage(&flowpb.Frame{Body: &flowpb.Frame_Hello{Hello: hello}}); err == nil {
+		err = stream.ReceiveMessage(frame)
+	}
+	if err != nil {
+		session.Close()
+		return nil, nil, err
+	}
+	stream.SetDeadline(time.Time{})
+	return newLink(ctx, session, stream, hello), frame.GetWelcome(), nil
+}
+
+// Accept takes a connection and reads the other side's hello. The caller answers by Welcome.
+func Accept(ctx context.Context, conn net.Conn) (l *Link, err error) {
+	defer errs.Annotate(&err, "link: accept")
+	session, err := peer.Serve(conn)
+	if err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(HelloTimeout, session.Close)
+	defer timer.Stop()
+	stream, err := session.Next()
+	if err != nil {
+		session.Close()
+		return nil, err
+	}
+	frame := &flowpb.Frame{}
+	if err = stream.ReceiveMessage(frame); err != nil || frame.GetHello() == nil {
+		session.Close()
+		return nil, peer.ErrProtocol
+	}
+	return newLink(ctx, session, stream, frame.GetHello()), nil
+}
+
+func newLink(ctx context.Context, session *peer.Session, stream *peer.Stream, hello *flowpb.Hello) *Link {
+	l := &Link{session: session, stream: stream, outbox: make(chan *flowpb.Frame, outboxFrames), ended: make(chan struct{}), Hello: hello}
+	l.written = loop.Go(ctx, l.write)
+	return l
+}
+
+// write sends what is in the outbox, several frames at once if they are there.
+func (l *Link) write(ctx context.Context) {
+	defer l.Close()
+	for {
+		select {
+		case f := <-l.outbox:
+			l.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if err := l.stream.SendMessage(l.gather(f)...); err != nil {
+				return
+			}
+		case <-l.ended:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Send queues a frame; a link whose outbox is full is ended.
+func (l *Link) Send(f *flowpb.Frame) {
+	select {
+	case l.outbox <- f:
+	case <-l.ended:
+	default:
+		l.Close()
+	}
+}
+
+// Receive waits for the next frame.
+func (l *Link) Receive() (*flowpb.Frame, error) {
+	f := &flowpb.Frame{}
+	if err := l.stream.ReceiveMessage(f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Ended is closed when the link has ended.
+func (l *Link) Ended() <-chan struct{} { return l.ended }
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.once.Do(func() {
+		close(l.ended)
+		l.session.Close()
+	})
+}
+
+// Wait blocks until the link's own goroutine has ended.
+func (l *Link) Wait() { <-l.written }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -79,6 +79,33 @@
 	return s, control, welcome, nil
 }
 
+// Connect opens a session to the process at address without an introduction.
+func Connect(ctx context.Context, address string, timeout time.Duration) (s *Session, err error) {
+	defer errs.Annotate(&err, "peer: connect to %s", address)
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	mux, err := yamux.Client(&joined{Conn: conn}, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Session{mux: mux, conn: conn}, nil
+}
+
+// Serve takes a connection from a process that used Connect.
+func Serve(conn net.Conn) (s *Session, err error) {
+	defer errs.Annotate(&err, "peer: serve")
+	mux, err := yamux.Server(&joined{Conn: conn}, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Session{mux: mux, conn: conn}, nil
+}
+
 func (s *Session) introduce(hello *peerpb.Hello) (*Stream, *peerpb.Welcome, error) {
 	control, err := s.Open()
 	if err != nil {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jasminebay/jasminebay/internal/errs"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
@@ -67,6 +68,29 @@
 	return f, nil
 }
 
+// SendMessage writes messages of a protocol other than Frame and flushes them.
+func (s *Stream) SendMessage(messages ...proto.Message) (err error) {
+	defer errs.Annotate(&err, "peer: send")
+	for _, m := range messages {
+		if _, err = protodelim.MarshalTo(s.writer, m); err != nil {
+			return err
+		}
+	}
+	return s.writer.Flush()
+}
+
+// ReceiveMessage reads the next message of a protocol other than Frame.
+func (s *Stream) ReceiveMessage(m proto.Message) error {
+	options := protodelim.UnmarshalOptions{MaxSize: FrameMaxBytes}
+	return options.UnmarshalFrom(s.reader, m)
+}
+
+// SetWriteDeadline bounds the following writes.
+func (s *Stream) SetWriteDeadline(t time.Time) { _ = s.conn.SetWriteDeadline(t) }
+
+// SetReadDeadline bounds the following reads.
+func (s *Stream) SetReadDeadline(t time.Time) { _ = s.conn.SetReadDeadline(t) }
+
 // SetDeadline bounds the following calls; the zero time removes the bound.
 func (s *Stream) SetDeadline(t time.Time) { _ = s.conn.SetDeadline(t) }
 
