Place and pace tasks that fill by learned pairs of images

Ruled out: the store, the agents and the wait between end and next start (half of the first starts within 36 ms), too little memory on the runners.

Change: spare processors count what tasks that serve leave; a Kalman filter learns for each pair of images what a processor of the one adds to the tail of the other; the pace is given by image, the least disturbing first; placement looks at the pace that a task may expect; a task held back for 1.2 s moves where it is not.

--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -64,6 +64,8 @@
 	}
 	if report.GetListed() {
 		e.listed(w, report, now)
+		e.learnPairs(w)
+		e.paceWorker(w, now.Steady)
 	}
 	e.grant(w, now.Steady)
 }
@@ -129,7 +131,7 @@
 	if int(held.GetPercent()) != r.percent {
 		r.percent, r.advanced = int(held.GetPercent()), now
 	}
-	r.gauge = held.GetGauge()
+	r.gauge, r.gaugeAt = held.GetGauge(), now
 }
 
 // begin notes that a run is at work.
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -52,6 +52,7 @@
 	inFlight  int
 	paced     time.Duration
 	estimates estimates
+	pairs     pairs
 }
 
 // Reply answers a call.
@@ -91,7 +92,7 @@
 func New(o Options) *Engine {
 	return &Engine{
 		options: o, jobs: map[string]*job{}, open: map[string]*job{}, workers: map[string]*worker{},
-		queues: map[string]Queue{}, tokens: o.Epoch << tokenShift, estimates: estimates{},
+		queues: map[string]Queue{}, tokens: o.Epoch << tokenShift, estimates: estimates{}, pairs: pairs{},
 		out: Effects{Orders: map[string]*flowpb.Orders{}},
 	}
 }
@@ -105,7 +106,7 @@
 	j, err := restore(def, p, now.Steady, func(t *task, a *flowpb.Assignment) {
 		w := e.worker(a.GetNode())
 		w.leaseEnd = leaseOf(now.Steady, e.options.Lease)
-		r := &run{task: t, number: a.GetRun(), phase: phaseOrdered, ordered: now.Steady, need: t.step.need(), pace: 100, wanted: 100, cpu: t.step.def.GetMilliCpu(), life: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
+		r := &run{task: t, number: a.GetRun(), phase: phaseOrdered, ordered: now.Steady, need: t.step.need(), pace: 100, cpu: t.step.def.GetMilliCpu(), life: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
 		t.runs = append(t.runs, r)
 		w.attach(r)
 	})
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -100,7 +100,6 @@
 	chain int64
 	// tickets of the admission service by runner id.
 	tickets     map[string]ticket
-	asked       time.Duration
 	preemptedAt time.Duration
 }
 
@@ -176,13 +175,18 @@
 	percent int
 	// advanced is when percent last rose.
 	advanced time.Duration
-	gauge    int64
-	pace     int
-	wanted   int
-	pacedAt  time.Duration
-	overAt   time.Duration
-	cpu      int64
-	need     driver.Resources
+	// gauge is what the runner last measured of the run, at gaugeAt.
+	gauge     int64
+	gaugeAt   time.Duration
+	learnedAt time.Duration
+	// base is the tail of a task that serves without tasks that fill beside it.
+	base    estimate
+	pace    int
+	pacedAt time.Duration
+	// heldAt is since when a task that fills is held back.
+	heldAt time.Duration
+	cpu    int64
+	need   driver.Resources
 	// life is the incarnation of the runner that the run was planned for.
 	life       *flowpb.Runner
 	checkpoint string
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -1,82 +1,262 @@
 package engine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
-// Pacing answers tasks that fill and disturb a task that serves beside them, by amounts that
-// differ by pair and change within seconds: the tail latency of the worst-off task that
-// serves decides for all tasks that fill on its worker. The pace falls by large steps and
-// rises by small ones, and a tail well below the target is needed before it rises.
+// Pacing answers tasks that fill and disturb tasks that serve beside them, by amounts that
+// differ by pair of images and change within seconds. Of the room that each serving task
+// has below its target, the filling images that disturb least get theirs first; a tail at
+// its target stops those that disturb it at all, and one far beyond it stops the rest.
 const (
 	paceInterval = 500 * time.Millisecond
-	// paceHigh and paceLow are the shares of the target between which the pace is kept.
-	paceHigh = 0.8
-	paceLow  = 0.55
-	paceCut  = 0.4
-	// paceFloor is the pace, in percent, below which tasks that fill stand still.
-	paceFloor = 10
-	paceRise  = 10
+	// paceShare is the share of the target that the tail may be expected to reach.
+	paceShare = 0.8
+	// paceOver is the share of the target at which all tasks that fill are stopped.
+	paceOver = 0.95
+	// paceFar is the share of the target at which even those are stopped that are taken to
+	// disturb nobody.
+	paceFar = 1.2
+	// paceStep is the least change of a pace that is worth an order, in percent.
+	paceStep = 8
+	// paceFirst is the pace, in percent, of a task that starts beside tasks which it may
+	// disturb, and paceRise what it may gain in one interval.
+	paceFirst = 40
+	paceRise  = 20
+	// relocateAfter is how long a task that fills is held back before it is moved to a
+	// worker that gives it relocatePace, in percent.
+	relocateAfter = 1200 * time.Millisecond
+	relocatePace  = 80
+	// paceFull is the pace of a task that is not held back, in percent.
+	paceFull = 100
 )
 
-// NextPace returns the pace, in percent, that follows from a tail latency and its target.
-func NextPace(pace int, tail, target int64) int {
-	if target <= 0 || tail <= 0 {
-		return pace
+// Served is a task that serves, as pacing sees it.
+type Served struct {
+	Image string
+	// Base is its tail without tasks that fill, as a share of its target.
+	Base float64
+	// Tail is what was last measured, as a share of its target.
+	Tail float64
+}
+
+// Filling is the use of processors by one filling image on a worker.
+type Filling struct {
+	Image      string
+	Processors float64
+}
+
+// Paces returns the pace of each filling image, in percent, in the order given.
+func Paces(served []Served, fillings []Filling, harm func(serving, filling string) float64) []int {
+	paces := make([]int, len(fillings))
+	left := make([]float64, len(served))
+	for i, s := range served {
+		if s.Tail >= paceFar {
+			return paces
+		}
+		left[i] = paceShare - s.Base
 	}
-	share := float64(tail) / float64(target)
-	switch {
-	case share >= 1:
-		return 0
-	case share > paceHigh:
-		pace = int(float64(pace) * paceCut)
-		if pace < paceFloor {
-			return 0
-		}
-		return pace
-	case share < paceLow:
-		return min(100, pace+paceRise)
-	}
-	return pace
+	order := make([]int, len(fillings))
+	worst := make([]float64, len(fillings))
+	for i, f := range fillings {
+		order[i] = i
+		for _, s := range served {
+			worst[i] = max(worst[i], harm(s.Image, f.Image))
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(worst[a], worst[b]) })
+	for _, i := range order {
+		f := fillings[i]
+		share := 1.0
+		for k, s := range served {
+			adds := harm(s.Image, f.Image) * f.Processors
+			switch {
+			case s.Tail >= paceOver && adds > harmLight/2:
+				share = 0
+			case adds > harmLight/2:
+				share = min(share, max(0, left[k])/adds)
+			}
+		}
+		for k, s := range served {
+			left[k] -= harm(s.Image, f.Image) * f.Processors * share
+		}
+		paces[i] = int(share * paceFull)
+	}
+	return paces
 }
 
-// pace adjusts the pace of tasks that fill on each worker.
+// pace learns from the newest readings and adjusts the pace of tasks that fill.
 func (e *Engine) pace(now time.Duration) {
 	if now-e.paced < paceInterval {
 		return
 	}
 	e.paced = now
 	for _, w := range e.sortedWorkers() {
-		if !w.connected || !w.synced {
+		if w.connected && w.synced {
+			e.paceWorker(w, now)
+			e.relocate(w, now)
+		}
+	}
+}
+
+// relocate stops a task that fills and is held back for long if another worker lets it run:
+// it goes on there from its checkpoint. One task of a worker at a time is moved.
+func (e *Engine) relocate(w *worker, now time.Duration) {
+	for _, r := range w.runs {
+		if !r.task.step.def.GetFills() || r.phase != phaseStarted || r.pace >= fillPaceLeast || now-r.heldAt < relocateAfter {
 			continue
 		}
-		e.paceWorker(w, now)
+		for _, p := range e.seats(now) {
+			if p.worker != w && p.idle >= r.cpu && e.placeable(r.task, p) && e.expectedPace(p.worker, r.task.step) >= relocatePace {
+				e.stop(r, now, "held back here, not on "+p.worker.node)
+				return
+			}
+		}
 	}
 }
 
-func (e *Engine) paceWorker(w *worker, now time.Duration) {
-	next := 100
+// learnPairs takes in the tails on a worker.
+func (e *Engine) learnPairs(w *worker) {
+	var processors map[string]float64
+	for _, r := range w.runs {
+		if !r.atWork() || r.gauge <= 0 || r.gaugeAt == r.learnedAt {
+			continue
+		}
+		if processors == nil {
+			processors = w.fillingProcessors()
+		}
+		r.learnedAt = r.gaugeAt
+		e.pairs.learn(&r.base, r.task.step.def.GetImage(), float64(r.gauge)/float64(r.task.step.def.GetTargetMillis()), processors)
+	}
+}
+
+// atWork reports whether a run serves its users now.
+func (r *run) atWork() bool {
+	return r.task.step.serves() && r.phase == phaseStarted && r.percent >= paceFull
+}
+
+// fillingProcessors returns the processors that each filling image uses, as far as the
+// worker has them to spare.
+func (w *worker) fillingProcessors() map[string]float64 {
+	used := map[string]float64{}
+	total := 0.0
 	for _, r := range w.runs {
-		switch {
-		case !r.task.step.serves():
-		case r.phase == phaseStarted && r.percent >= 100:
-			next = min(next, NextPace(w.pace, r.gauge, r.task.step.def.GetTargetMillis()))
-		default:
-			// It is not at work yet, and says nothing.
-			next = min(next, w.pace)
+		if r.task.step.def.GetFills() && r.phase == phaseStarted {
+			x := float64(r.cpu) / 1000 * float64(r.pace) / paceFull
+			used[r.task.step.def.GetImage()] += x
+			total += x
 		}
 	}
-	if next != w.pace {
-		e.options.Log.Debug("pace changes", "node", w.node, "from", w.pace, "to", next)
+	if spare := float64(w.spare()) / 1000; total > spare && spare > 0 {
+		for image := range used {
+			used[image] *= spare / total
+		}
 	}
-	w.pace = next
+	return used
+}
+
+// served lists the tasks that serve on a worker.
+func (w *worker) served() (served []Served) {
 	for _, r := range w.runs {
-		if r.task.step.def.GetFills() && r.phase == phaseStarted && r.pace != w.pace && now-r.pacedAt >= paceInterval {
-			r.pace, r.pacedAt = w.pace, now
-			o := e.orders(w)
-			o.Paces = append(o.Paces, &flowpb.Pace{Task: r.task.name(), Run: r.number, Percent: int32(w.pace)})
+		if !r.task.step.serves() || r.phase == phaseStopping {
+			continue
+		}
+		s := Served{Image: r.task.step.def.GetImage(), Base: baseFirst}
+		if r.base.variance > 0 {
+			s.Base = r.base.value
+		}
+		if r.atWork() {
+			s.Tail = float64(r.gauge) / float64(r.task.step.def.GetTargetMillis())
 		}
+		served = append(served, s)
+	}
+	return served
+}
+
+// fillings lists the filling images on a worker, at full pace and within its spare processors.
+func (w *worker) fillings() (fillings []Filling) {
+	byImage := map[string]float64{}
+	total := 0.0
+	for _, r := range w.runs {
+		if r.task.step.def.GetFills() && r.phase != phaseStopping {
+			byImage[r.task.step.def.GetImage()] += float64(r.cpu) / 1000
+			total += float64(r.cpu) / 1000
+		}
+	}
+	scale := 1.0
+	if spare := max(0, float64(w.spare())/1000); total > spare {
+		scale = spare / total
+	}
+	for image, x := range byImage {
+		fillings = append(fillings, Filling{Image: image, Processors: x * scale})
+	}
+	slices.SortFunc(fillings, func(a, b Filling) int { return cmp.Compare(a.Image, b.Image) })
+	return fillings
+}
+
+func (e *Engine) harm(serving, filling string) float64 { return e.pairs.bound(pair{serving, filling}) }
+
+func (e *Engine) paceWorker(w *worker, now time.Duration) {
+	fillings := w.fillings()
+	if len(fillings) == 0 {
+		return
+	}
+	paces := map[string]int{}
+	for i, p := range Paces(w.served(), fillings, e.harm) {
+		paces[fillings[i].Image] = p
+	}
+	serving := w.serving()
+	for _, r := range w.runs {
+		if !r.task.step.def.GetFills() || r.phase != phaseStarted {
+			continue
+		}
+		next := paces[r.task.step.def.GetImage()]
+		if serving && e.worstHarm(w, r.task.step) > harmLight {
+			next = r.ramp(next, now)
+		}
+		if next == r.pace || next > r.pace && next < paceFull && next-r.pace < paceStep {
+			continue
+		}
+		r.pacedAt = now
+		if next < fillPaceLeast && r.pace >= fillPaceLeast {
+			r.heldAt = w.reported
+		}
+		r.pace = next
+		o := e.orders(w)
+		o.Paces = append(o.Paces, &flowpb.Pace{Task: r.task.name(), Run: r.number, Percent: int32(next)})
+	}
+}
+
+// ramp bounds how fast a pace rises, so that what it does to others is seen in time.
+func (r *run) ramp(next int, now time.Duration) int {
+	switch {
+	case r.pacedAt == 0:
+		return min(next, paceFirst)
+	case next > r.pace && now-r.pacedAt < paceInterval:
+		return r.pace
+	}
+	return min(next, r.pace+paceRise)
+}
+
+// worstHarm returns the most that a task adds to a tail on a worker, as a share of its target.
+func (e *Engine) worstHarm(w *worker, s *step) (worst float64) {
+	for _, served := range w.served() {
+		worst = max(worst, e.harm(served.Image, s.def.GetImage())*float64(s.def.GetMilliCpu())/1000)
+	}
+	return worst
+}
+
+// expectedPace returns the pace that one more task of a filling image would get on a worker.
+func (e *Engine) expectedPace(w *worker, s *step) int {
+	served := w.served()
+	if len(served) == 0 {
+		return paceFull
 	}
+	fillings := append(w.fillings(), Filling{Image: s.def.GetImage(), Processors: float64(s.def.GetMilliCpu()) / 1000})
+	paces := Paces(served, fillings, e.harm)
+	return paces[len(paces)-1]
 }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -68,7 +68,7 @@
 		if !t.waits(now) {
 			continue
 		}
-		best := e.bestSeat(t, seats, "")
+		best := e.bestSeat(t, seats, "", now)
 		if best == nil {
 			short = true
 			continue
@@ -94,7 +94,7 @@
 		racks = append(racksOf(seats), "")
 	}
 	for _, rack := range racks {
-		chosen := e.gangSeats(s, seats, rack)
+		chosen := e.gangSeats(s, seats, rack, now)
 		if chosen == nil {
 			continue
 		}
@@ -108,10 +108,10 @@
 }
 
 // gangSeats reserves a seat for each task of a gang, or nothing.
-func (e *Engine) gangSeats(s *step, seats []*seat, rack string) []*seat {
+func (e *Engine) gangSeats(s *step, seats []*seat, rack string, now time.Duration) []*seat {
 	var chosen []*seat
 	for _, t := range s.tasks {
-		best := e.bestSeat(t, seats, rack)
+		best := e.bestSeat(t, seats, rack, now)
 		if best == nil {
 			for _, c := range chosen {
 				c.give(s)
@@ -157,11 +157,11 @@
 }
 
 // bestSeat returns where a task is placed best, or nil.
-func (e *Engine) bestSeat(t *task, seats []*seat, rack string) *seat {
+func (e *Engine) bestSeat(t *task, seats []*seat, rack string, now time.Duration) *seat {
 	var best *seat
 	bestScore := 0.0
 	for _, p := range seats {
-		if rack != "" && p.rack != rack || !e.allowed(t, p) {
+		if rack != "" && p.rack != rack || !e.allowed(t, p, now) {
 			continue
 		}
 		if score := e.score(t, p); best == nil || score > bestScore {
@@ -171,15 +171,17 @@
 	return best
 }
 
-// allowed reports whether the rules let a task run on a seat and it has room.
-func (e *Engine) allowed(t *task, p *seat) bool {
+// allowed reports whether a task is to run on a seat.
+func (e *Engine) allowed(t *task, p *seat, now time.Duration) bool {
+	return e.placeable(t, p) && (!t.step.def.GetFills() || e.allowedToFill(t, p, now))
+}
+
+// placeable reports whether the rules let a task run on a seat and it has room.
+func (e *Engine) placeable(t *task, p *seat) bool {
 	s, w := t.step, p.worker
 	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) || !s.need().Fits(p.free) {
 		return false
 	}
-	if s.def.GetFills() && p.idle < s.def.GetMilliCpu() {
-		return false
-	}
 	if s.job().queue.Advised {
 		if _, ticketed := s.tickets[w.info.GetId()]; !ticketed {
 			return false
@@ -199,16 +201,34 @@
 	return true
 }
 
+const (
+	// fillPaceLeast is the pace, in percent, that a task which fills must expect.
+	fillPaceLeast = 50
+	// fillPatience is how long such a task waits before it takes any room.
+	fillPatience = 2500 * time.Millisecond
+	// harmLight is what a task may add to a tail, as a share of its target, and still count
+	// as one that disturbs nobody.
+	harmLight = 0.1
+)
+
+// allowedToFill reports whether a task that fills finds idle processors on a seat, and is
+// not held back there for the sake of tasks that serve.
+func (e *Engine) allowedToFill(t *task, p *seat, now time.Duration) bool {
+	if p.idle < t.step.def.GetMilliCpu() {
+		return false
+	}
+	return !p.serving || now-t.waitSince > fillPatience || e.expectedPace(p.worker, t.step) >= fillPaceLeast
+}
+
 // Weights of a placement. Tasks that fill harm tasks that serve beside them, so the two are
 // kept apart while there is room; tasks that serve are packed, which leaves whole workers to
 // the others; all others take the room beside tasks that serve first.
 const (
-	weightApart     = 100.0
-	weightBeside    = 10.0
-	weightRack      = 1000.0
-	weightFailedOn  = 500.0
-	weightFit       = 1.0
-	weightFillsHere = 5.0
+	weightApart    = 100.0
+	weightBeside   = 10.0
+	weightRack     = 1000.0
+	weightFailedOn = 500.0
+	weightFit      = 1.0
 )
 
 func (e *Engine) score(t *task, p *seat) float64 {
@@ -225,11 +245,10 @@
 	switch {
 	case s.def.GetFills():
 		if p.serving {
-			score -= weightApart
+			score += e.scoreBeside(p.worker, s)
 		}
 		score += weightFit * float64(p.idle) / capacity
 	case s.serves():
-		score -= weightFillsHere * float64(p.fills)
 		if p.serving {
 			score += weightBeside
 		}
@@ -243,6 +262,16 @@
 	return score
 }
 
+// scoreBeside scores a task that fills beside tasks that serve: those that disturb nobody
+// are placed there first, which leaves other workers to the rest.
+func (e *Engine) scoreBeside(w *worker, s *step) float64 {
+	worst := e.worstHarm(w, s)
+	if pace := e.expectedPace(w, s); pace < paceFull || worst > harmLight {
+		return -weightApart * (1 + worst - float64(pace)/paceFull)
+	}
+	return weightBeside
+}
+
 // plan reserves a seat for a run of a task.
 func (e *Engine) plan(t *task, p *seat, number uint32, now time.Duration) {
 	p.take(t.step)
@@ -252,7 +281,7 @@
 // planned adds a run; it is sent once it is durable.
 func (e *Engine) planned(t *task, p *seat, number uint32, now time.Duration) {
 	s := t.step
-	r := &run{task: t, number: number, need: s.need(), pace: 100, wanted: 100, cpu: s.def.GetMilliCpu(), life: p.worker.info, checkpoint: t.checkpoint, advanced: now}
+	r := &run{task: t, number: number, need: s.need(), pace: 100, cpu: s.def.GetMilliCpu(), life: p.worker.info, checkpoint: t.checkpoint, advanced: now}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
 	p.worker.attach(r)
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -40,14 +40,12 @@
 	// resyncAt is when the agent was last asked to synchronise.
 	resyncAt time.Duration
 	health   health
-	// pace is that of tasks which fill, in percent.
-	pace int
 	// full is until when the runner is taken to have less room than it says.
 	fullUntil time.Duration
 }
 
 func newWorker(node string) *worker {
-	return &worker{node: node, pace: 100, info: &flowpb.Runner{}, runs: map[driver.RunID]*run{}, foreign: map[driver.RunID]time.Duration{}}
+	return &worker{node: node, info: &flowpb.Runner{}, runs: map[driver.RunID]*run{}, foreign: map[driver.RunID]time.Duration{}}
 }
 
 func (w *worker) capacity() driver.Resources {
@@ -63,12 +61,27 @@
 	return free
 }
 
-// idle returns the processors, in thousandths, that tasks which fill may still use.
+// servingUse is the share of its processors that a task which serves is taken to use; its
+// users' load swings, and tasks that fill get what it leaves.
+const servingUse = 0.6
+
+// spare returns the processors, in thousandths, that other tasks leave to tasks that fill.
+func (w *worker) spare() int64 {
+	spare := w.free().MilliCPU()
+	for _, r := range w.runs {
+		if r.task.step.serves() {
+			spare += int64((1 - servingUse) * float64(r.cpu))
+		}
+	}
+	return spare
+}
+
+// idle returns the processors, in thousandths, that no task which fills has yet.
 func (w *worker) idle() int64 {
-	idle := w.free().MilliCPU()
+	idle := w.spare()
 	for _, r := range w.runs {
 		if r.task.step.def.GetFills() {
-			idle -= r.cpu * int64(r.pace) / 100
+			idle -= r.cpu
 		}
 	}
 	return idle
