Learn interference as headroom, shared by the tasks of a step

The trace of tails without filling tasks beside them shows that a tail follows one over the idle share of its server (5 to 11 ms over a period of 10 s), that all tasks of a step have the same load, and that tasks of other steps do not.

Change: the filter works on target over tail, which falls in proportion to what fills; the base is one for a step; readings are set against use averaged over the half second that they describe; serving tasks are packed by image; a filling task held back for 1.2 s goes back to the queue at its checkpoint; the order prefers work that has begun and then the least work left; admission of work that fills counts on the rate seen under a backlog, that of other work on processors alone.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -102,15 +102,23 @@
 		return l, false
 	}
 	for _, w := range e.workers {
-		if w.info.GetService() == j.queue.Service {
+		if w.info.GetService() == j.queue.Service && w.synced {
 			l.Capacity += w.info.GetMilliCpu()
 		}
 	}
+	fills := j.fills()
 	for _, other := range e.open {
 		if other.queue.Service != j.queue.Service || other.queue.Priority > j.queue.Priority {
 			continue
 		}
-		l.Backlog += e.workLeft(other, &l.Capacity)
+		work := e.workLeft(other, &l.Capacity, fills)
+		if fills || !other.fills() {
+			// What fills takes nothing away from the others.
+			l.Backlog += work
+		}
+	}
+	if fills && e.rate > 0 {
+		l.Capacity = min(l.Capacity, int64(e.rate))
 	}
 	for _, s := range first.steps {
 		l.Backlog += float64(s.def.GetCount()) * e.estimates.millis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
@@ -120,16 +128,23 @@
 	return l, true
 }
 
+// fills reports whether the job's first step uses what others leave.
+func (j *job) fills() bool { return j.def.GetSteps()[0].GetFills() }
+
 // workLeft returns the work that is left of a job; what its lasting tasks hold is taken off
-// the capacity instead.
-func (e *Engine) workLeft(j *job, capacity *int64) (work float64) {
+// the capacity instead, as far as tasks that fill can't have it if these are asked about.
+func (e *Engine) workLeft(j *job, capacity *int64, fills bool) (work float64) {
 	for _, o := range j.occurrences {
 		if o.done {
 			continue
 		}
 		for _, s := range o.steps {
 			if s.def.GetLasting() {
-				*capacity -= int64(s.left) * s.def.GetMilliCpu()
+				used := float64(s.def.GetMilliCpu())
+				if fills && s.serves() {
+					used *= servingUse
+				}
+				*capacity -= int64(float64(s.left) * used)
 				continue
 			}
 			each := e.estimates.millis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -64,7 +64,7 @@
 	}
 	if report.GetListed() {
 		e.listed(w, report, now)
-		e.learnPairs(w)
+		e.learnPairs(w, now.Steady)
 		e.paceWorker(w, now.Steady)
 	}
 	e.grant(w, now.Steady)
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -51,8 +51,10 @@
 	// inFlight counts batches that were taken and are not committed.
 	inFlight  int
 	paced     time.Duration
+	rated     time.Duration
 	estimates estimates
 	pairs     pairs
+	rate      rate
 }
 
 // Reply answers a call.
@@ -286,6 +288,7 @@
 	}
 	e.beginDue(now)
 	e.expire(now)
+	e.measureRate(now.Steady)
 	e.pace(now.Steady)
 	e.stirred = true
 	e.Place(now)
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -101,6 +101,7 @@
 	// tickets of the admission service by runner id.
 	tickets     map[string]ticket
 	preemptedAt time.Duration
+	base        base
 }
 
 type ticket struct {
@@ -179,10 +180,8 @@
 	gauge     int64
 	gaugeAt   time.Duration
 	learnedAt time.Duration
-	// base is the tail of a task that serves without tasks that fill beside it.
-	base    estimate
-	pace    int
-	pacedAt time.Duration
+	pace      int
+	pacedAt   time.Duration
 	// heldAt is since when a task that fills is held back.
 	heldAt time.Duration
 	cpu    int64
--- a/internal/flow/engine/order.go
+++ b/internal/flow/engine/order.go
@@ -27,21 +27,25 @@
 	Priority int
 	Lasting  bool
 	Prospect Prospect
-	// Slack is how much longer the step may wait for its job to be in time.
-	Slack time.Duration
+	// Begun tells that tasks of the job have run.
+	Begun bool
+	// Work is what is left of the job, in thousandths of a processor times milliseconds.
+	Work float64
 }
 
 // Order sorts claims by who is to be placed first: lasting tasks, which earn from the
 // moment they run; then by priority; then jobs whose objective is in reach before those
-// that are late, so that under overload the late don't drag the others with them; and
-// among equals the one with the least slack.
+// that are late, so that under overload the late don't drag the others with them; then jobs
+// that have begun; and among equals the one with the least work left, which brings in most
+// for each processor.
 func Order(claims []Claim) {
 	slices.SortFunc(claims, func(a, b Claim) int {
 		return cmp.Or(
 			compareTrueFirst(a.Lasting, b.Lasting),
 			cmp.Compare(a.Priority, b.Priority),
 			cmp.Compare(a.Prospect, b.Prospect),
-			cmp.Compare(a.Slack, b.Slack),
+			compareTrueFirst(a.Begun, b.Begun),
+			cmp.Compare(a.Work, b.Work),
 			strings.Compare(a.Name, b.Name),
 		)
 	})
@@ -87,17 +91,19 @@
 
 func (e *Engine) claim(s *step, now time.Duration) Claim {
 	j, o := s.job(), s.occurrence
-	c := Claim{step: s, Name: s.name(), Priority: j.queue.Priority, Lasting: s.def.GetLasting()}
+	c := Claim{step: s, Name: s.name(), Priority: j.queue.Priority, Lasting: s.def.GetLasting(), Begun: j.begun}
+	var lasting int64
+	c.Work = e.workLeft(j, &lasting, false)
 	began := j.arrived
 	if j.def.GetOccurrences() > 0 {
 		began = o.began
 	}
 	objective := time.Duration(j.queue.Stretch*e.estimates.millis(j.queue.Name, o.longestChain()))*time.Millisecond + j.queue.Target
 	left := time.Duration(e.estimates.millis(j.queue.Name, s.chain)) * time.Millisecond
-	c.Slack = began + objective - now - left
+	slack := began + objective - now - left
 	late := began + time.Duration(e.options.LateFactor*float64(objective)) - now - left
 	switch {
-	case c.Slack >= 0:
+	case slack >= 0:
 		c.Prospect = ProspectInTime
 	case late >= 0:
 		c.Prospect = ProspectLate
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -14,23 +14,22 @@
 // its target stops those that disturb it at all, and one far beyond it stops the rest.
 const (
 	paceInterval = 500 * time.Millisecond
-	// paceShare is the share of the target that the tail may be expected to reach.
-	paceShare = 0.8
-	// paceOver is the share of the target at which all tasks that fill are stopped.
-	paceOver = 0.95
-	// paceFar is the share of the target at which even those are stopped that are taken to
-	// disturb nobody.
-	paceFar = 1.2
+	// paceHeadroom is the headroom that tasks which serve are left with.
+	paceHeadroom = 1.3
+	// paceOver is the headroom at which all that disturb are stopped, paceFar that at which
+	// even those are that are taken to disturb nobody.
+	paceOver = 1.06
+	paceFar  = 0.85
 	// paceStep is the least change of a pace that is worth an order, in percent.
 	paceStep = 8
 	// paceFirst is the pace, in percent, of a task that starts beside tasks which it may
 	// disturb, and paceRise what it may gain in one interval.
 	paceFirst = 40
 	paceRise  = 20
-	// relocateAfter is how long a task that fills is held back before it is moved to a
-	// worker that gives it relocatePace, in percent.
-	relocateAfter = 1200 * time.Millisecond
-	relocatePace  = 80
+	// releaseAfter is how long a task that fills is held back before it is stopped, and
+	// releaseProgress how far, in percent, one that does not checkpoint may have come.
+	releaseAfter    = 1200 * time.Millisecond
+	releaseProgress = 30
 	// paceFull is the pace of a task that is not held back, in percent.
 	paceFull = 100
 )
@@ -38,10 +37,10 @@
 // Served is a task that serves, as pacing sees it.
 type Served struct {
 	Image string
-	// Base is its tail without tasks that fill, as a share of its target.
+	// Base is its headroom without tasks that fill.
 	Base float64
-	// Tail is what was last measured, as a share of its target.
-	Tail float64
+	// Headroom is what was last measured, 0 if nothing was.
+	Headroom float64
 }
 
 // Filling is the use of processors by one filling image on a worker.
@@ -55,10 +54,10 @@
 	paces := make([]int, len(fillings))
 	left := make([]float64, len(served))
 	for i, s := range served {
-		if s.Tail >= paceFar {
+		if s.Headroom > 0 && s.Headroom <= paceFar {
 			return paces
 		}
-		left[i] = paceShare - s.Base
+		left[i] = s.Base - paceHeadroom
 	}
 	order := make([]int, len(fillings))
 	worst := make([]float64, len(fillings))
@@ -75,7 +74,7 @@
 		for k, s := range served {
 			adds := harm(s.Image, f.Image) * f.Processors
 			switch {
-			case s.Tail >= paceOver && adds > harmLight/2:
+			case s.Headroom > 0 && s.Headroom <= paceOver && adds > harmLight/2:
 				share = 0
 			case adds > harmLight/2:
 				share = min(share, max(0, left[k])/adds)
@@ -98,39 +97,37 @@
 	for _, w := range e.sortedWorkers() {
 		if w.connected && w.synced {
 			e.paceWorker(w, now)
-			e.relocate(w, now)
+			e.release(w, now)
 		}
 	}
 }
 
-// relocate stops a task that fills and is held back for long if another worker lets it run:
-// it goes on there from its checkpoint. One task of a worker at a time is moved.
-func (e *Engine) relocate(w *worker, now time.Duration) {
+// release stops tasks that fill and have been held back for a while, if they lose little by
+// it: they wait for a worker where they may work, and leave their room to others.
+func (e *Engine) release(w *worker, now time.Duration) {
 	for _, r := range w.runs {
-		if !r.task.step.def.GetFills() || r.phase != phaseStarted || r.pace >= fillPaceLeast || now-r.heldAt < relocateAfter {
+		s := r.task.step
+		if !s.def.GetFills() || r.phase != phaseStarted || r.pace >= fillPaceLeast || now-r.heldAt < releaseAfter {
 			continue
 		}
-		for _, p := range e.seats(now) {
-			if p.worker != w && p.idle >= r.cpu && e.placeable(r.task, p) && e.expectedPace(p.worker, r.task.step) >= relocatePace {
-				e.stop(r, now, "held back here, not on "+p.worker.node)
-				return
-			}
+		if s.def.GetCheckpoints() || r.percent <= releaseProgress {
+			e.stop(r, now, "held back by tasks that serve")
 		}
 	}
 }
 
 // learnPairs takes in the tails on a worker.
-func (e *Engine) learnPairs(w *worker) {
+func (e *Engine) learnPairs(w *worker, now time.Duration) {
 	var processors map[string]float64
 	for _, r := range w.runs {
 		if !r.atWork() || r.gauge <= 0 || r.gaugeAt == r.learnedAt {
 			continue
 		}
 		if processors == nil {
-			processors = w.fillingProcessors()
+			processors = w.usage.average(now)
 		}
 		r.learnedAt = r.gaugeAt
-		e.pairs.learn(&r.base, r.task.step.def.GetImage(), float64(r.gauge)/float64(r.task.step.def.GetTargetMillis()), processors)
+		e.pairs.learn(&r.task.step.base, now, r.task.step.def.GetImage(), float64(r.gauge), float64(r.task.step.def.GetTargetMillis()), processors)
 	}
 }
 
@@ -166,11 +163,11 @@
 			continue
 		}
 		s := Served{Image: r.task.step.def.GetImage(), Base: baseFirst}
-		if r.base.variance > 0 {
-			s.Base = r.base.value
+		if b := r.task.step.base; b.variance > 0 {
+			s.Base = b.value
 		}
 		if r.atWork() {
-			s.Tail = float64(r.gauge) / float64(r.task.step.def.GetTargetMillis())
+			s.Headroom = float64(r.task.step.def.GetTargetMillis()) / float64(max(r.gauge, 1))
 		}
 		served = append(served, s)
 	}
@@ -203,8 +200,12 @@
 func (e *Engine) paceWorker(w *worker, now time.Duration) {
 	fillings := w.fillings()
 	if len(fillings) == 0 {
+		if len(w.usage.steps) > 0 {
+			w.usage.note(now, nil)
+		}
 		return
 	}
+	defer func() { w.usage.note(now, w.fillingProcessors()) }()
 	paces := map[string]int{}
 	for i, p := range Paces(w.served(), fillings, e.harm) {
 		paces[fillings[i].Image] = p
@@ -242,7 +243,7 @@
 	return min(next, r.pace+paceRise)
 }
 
-// worstHarm returns the most that a task adds to a tail on a worker, as a share of its target.
+// worstHarm returns the most headroom that a task takes from one that serves on a worker.
 func (e *Engine) worstHarm(w *worker, s *step) (worst float64) {
 	for _, served := range w.served() {
 		worst = max(worst, e.harm(served.Image, s.def.GetImage())*float64(s.def.GetMilliCpu())/1000)
--- a/internal/flow/engine/pairs.go
+++ b/internal/flow/engine/pairs.go
@@ -1,26 +1,35 @@
 package engine
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
-// Interference is learned pair by pair: how much one processor of a filling image adds to
-// the tail latency of a serving image, as a share of its target. The tail of a serving task
-// is taken to be a base of its own, which moves with its load within seconds, plus what the
-// images beside it add. All are estimated together by a Kalman filter of which only the
-// variances are kept.
+// Interference is learned pair by pair. The tail of a serving task grows as that of a queue
+// does, with one over the share of time that its server is idle; so its target over its tail
+// falls in proportion to the load of its own users and to the processors of each filling
+// image beside it. That ratio is called headroom here: it is 1 at the target, and higher the
+// better. All slopes are estimated together by a Kalman filter of which only the variances
+// are kept.
 const (
-	// pairPrior and pairDeviation are what is expected of a pair that was never seen: at
-	// 64 processors it triples the tail of a task that is at a quarter of its target.
-	pairPrior     = 0.008
-	pairDeviation = 0.012
+	// pairPrior and pairDeviation are what is expected of a pair that was never seen, as
+	// headroom that one processor takes.
+	pairPrior     = 0.03
+	pairDeviation = 0.04
 	// pairDrift is the variance that a pair gains per reading.
-	pairDrift = 1e-8
-	// baseDeviation is how much a base may move between two readings, as a share of the target.
-	baseDeviation = 0.03
-	baseFirst     = 0.3
-	// baseMost bounds a base: a tail beyond it is put down to what fills beside it.
-	baseMost = 0.75
-	// readingDeviation is the error of one reading of a tail.
-	readingDeviation = 0.05
+	pairDrift = 1e-7
+	// baseFirst and baseFirstDeviation are what is expected of a task without any filling
+	// task beside it, baseDrift the variance that this gains in a second.
+	baseFirst          = 2.4
+	baseFirstDeviation = 0.7
+	baseDrift          = 0.35 * 0.35
+	// baseLeast and baseMost bound the base: what is beyond is put down to what fills.
+	baseLeast = 1.15
+	baseMost  = 6.0
+	// readingShare is the relative error of a reading of a tail, readingMillis what
+	// rounding to whole milliseconds adds.
+	readingShare  = 0.08
+	readingMillis = 0.4
 	// pairCaution is how many deviations are added to what a pair is expected to do.
 	pairCaution = 0.7
 )
@@ -30,6 +39,13 @@
 
 type estimate struct{ value, variance float64 }
 
+// base is the headroom of the tasks of a step without any filling task beside them. The load
+// of their users is that of all tasks of the step.
+type base struct {
+	estimate
+	at time.Duration
+}
+
 // pairs is what is known of the pairs of images.
 type pairs map[pair]*estimate
 
@@ -42,8 +58,8 @@
 	return e
 }
 
-// bound returns the share of the target that one processor of the pair's filling image may
-// add, with a margin for what is not known for sure.
+// bound returns the headroom that one processor of the pair's filling image may take, with
+// a margin for what is not known for sure.
 func (m pairs) bound(p pair) float64 {
 	e := m[p]
 	if e == nil {
@@ -52,29 +68,32 @@
 	return max(0, e.value+pairCaution*math.Sqrt(e.variance))
 }
 
-// learn takes in a reading of a tail, as a share of its target, beside processors in use by
-// filling images, and returns the estimate of the base.
-func (m pairs) learn(base *estimate, serving string, share float64, processors map[string]float64) {
-	if base.variance == 0 {
-		*base = estimate{baseFirst, baseFirst * baseFirst}
+// learn takes in a tail and its target in milliseconds, measured beside processors in use by
+// filling images, and improves the estimate of the base.
+func (m pairs) learn(b *base, now time.Duration, serving string, tail, target float64, processors map[string]float64) {
+	if b.variance == 0 {
+		*b = base{estimate{baseFirst, baseFirstDeviation * baseFirstDeviation}, now}
 	}
-	base.variance += baseDeviation * baseDeviation
-	predicted := base.value
-	total := base.variance + readingDeviation*readingDeviation
+	headroom := target / tail
+	deviation := headroom * (readingShare + readingMillis/tail)
+	b.variance += baseDrift * (now - b.at).Seconds()
+	b.at = now
+	predicted := b.value
+	total := b.variance + deviation*deviation
 	for filling, x := range processors {
 		e := m.of(pair{serving, filling})
 		e.variance += pairDrift
-		predicted += e.value * x
+		predicted -= e.value * x
 		total += e.variance * x * x
 	}
-	surprise := share - predicted
-	base.correct(1, total, surprise)
+	surprise := headroom - predicted
+	b.correct(1, total, surprise)
 	for filling, x := range processors {
 		e := m.of(pair{serving, filling})
-		e.correct(x, total, surprise)
+		e.correct(-x, total, surprise)
 		e.value = max(0, e.value)
 	}
-	base.value = min(max(0, base.value), baseMost)
+	b.value = min(max(baseLeast, b.value), baseMost)
 }
 
 func (e *estimate) correct(slope, total, surprise float64) {
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -206,9 +206,9 @@
 	fillPaceLeast = 50
 	// fillPatience is how long such a task waits before it takes any room.
 	fillPatience = 2500 * time.Millisecond
-	// harmLight is what a task may add to a tail, as a share of its target, and still count
-	// as one that disturbs nobody.
-	harmLight = 0.1
+	// harmLight is the headroom that a task may take and still count as one that disturbs
+	// nobody.
+	harmLight = 0.2
 )
 
 // allowedToFill reports whether a task that fills finds idle processors on a seat, and is
@@ -221,11 +221,12 @@
 }
 
 // Weights of a placement. Tasks that fill harm tasks that serve beside them, so the two are
-// kept apart while there is room; tasks that serve are packed, which leaves whole workers to
-// the others; all others take the room beside tasks that serve first.
+// kept apart while there is room; tasks that serve are packed by image.
 const (
 	weightApart    = 100.0
 	weightBeside   = 10.0
+	weightSame     = 100.0
+	weightMixed    = 60.0
 	weightRack     = 1000.0
 	weightFailedOn = 500.0
 	weightFit      = 1.0
@@ -249,19 +250,29 @@
 		}
 		score += weightFit * float64(p.idle) / capacity
 	case s.serves():
-		if p.serving {
-			score += weightBeside
-		}
-		score -= weightFit * free
+		score += scoreServing(p.worker, s.def.GetImage()) - weightFit*free
 	default:
-		if p.serving {
-			score += weightBeside
-		}
 		score += weightFit * free
 	}
 	return score
 }
 
+// scoreServing scores a task that serves: tasks of one image are packed together, so that
+// every filling image finds workers where it disturbs nobody.
+func scoreServing(w *worker, image string) (score float64) {
+	others := map[string]bool{}
+	for _, r := range w.runs {
+		switch {
+		case !r.task.step.serves() || r.phase == phaseStopping:
+		case r.task.step.def.GetImage() == image:
+			score = weightSame
+		default:
+			others[r.task.step.def.GetImage()] = true
+		}
+	}
+	return score - weightMixed*float64(len(others))
+}
+
 // scoreBeside scores a task that fills beside tasks that serve: those that disturb nobody
 // are placed there first, which leaves other workers to the rest.
 func (e *Engine) scoreBeside(w *worker, s *step) float64 {
--- /dev/null
+++ b/internal/flow/engine/rate.go
@@ -0,0 +1,48 @@
+package engine
+
+import "time"
+
+// The rate at which work gets done answers runners that can do less than they have, since
+// tasks that fill are held back: admission counts on what was seen under a backlog.
+const (
+	rateInterval = 250 * time.Millisecond
+	// rateWeight is the weight of one more sample under a backlog.
+	rateWeight = 0.06
+	// rateRise is how fast the rate rises while nothing waits.
+	rateRise = 1.02
+	// rateMost bounds the rate where nothing was ever held back.
+	rateMost = 1e12
+)
+
+// rate is a moving average of the processors at work, in thousandths.
+type rate float64
+
+func (r rate) next(atWork float64, backlog bool) rate {
+	switch {
+	case !backlog:
+		return rate(min(max(float64(r), atWork)*rateRise, rateMost))
+	case r == 0:
+		return rate(atWork)
+	}
+	return r + rate(rateWeight*(atWork-float64(r)))
+}
+
+// measureRate samples the processors that tasks which end have at work.
+func (e *Engine) measureRate(now time.Duration) {
+	if now-e.rated < rateInterval {
+		return
+	}
+	e.rated = now
+	atWork := 0.0
+	for _, w := range e.workers {
+		for _, r := range w.runs {
+			if !r.task.step.def.GetLasting() && r.phase == phaseStarted {
+				atWork += float64(r.cpu) * float64(r.pace) / paceFull
+			}
+		}
+	}
+	backlog := len(e.claims(now)) > 0
+	if e.rate > 0 || backlog {
+		e.rate = e.rate.next(atWork, backlog)
+	}
+}
