--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -108,7 +108,7 @@
 	j, err := restore(def, p, now.Steady, func(t *task, a *flowpb.Assignment) {
 		w := e.worker(a.GetNode())
 		w.leaseEnd = leaseOf(now.Steady, e.options.Lease)
-		r := &run{task: t, number: a.GetRun(), phase: phaseOrdered, ordered: now.Steady, need: t.step.need(), pace: 100, cpu: t.step.def.GetMilliCpu(), life: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
+		r := &run{task: t, number: a.GetRun(), phase: phaseOrdered, stored: true, ordered: now.Steady, need: t.step.need(), pace: 100, cpu: t.step.def.GetMilliCpu(), life: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
 		t.runs = append(t.runs, r)
 		w.attach(r)
 	})
