Retry orders at once, drain agents, keep what was learned

Also: serving tasks are packed with others before they open a worker, and tasks that neither serve nor fill go beside them first, which leaves whole workers to what fills.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/flow/link"
@@ -19,14 +21,20 @@
 	redialPause = 120 * time.Millisecond
 	// sentReports is how many reports are remembered for the grants that answer them.
 	sentReports = 64
-	// orderTimeout bounds one call to the runner, which is on the same VM.
-	orderTimeout = 700 * time.Millisecond
+	// orderTimeout bounds one try of an order to the runner, which is on the same VM and
+	// answers in milliseconds.
+	orderTimeout = 150 * time.Millisecond
+	// orderTries is how often an order is sent that gets no answer: all are idempotent, and a
+	// copy that is carried out late finds the run there, ended or its lease over.
+	orderTries = 3
 	// leaseLeast is the shortest lease with which a start is worth sending.
 	leaseLeast = 100 * time.Millisecond
 	// parallelStarts bounds the starts that are under way at the runner at once.
 	parallelStarts = 4
 	// doubtPause keeps doubts in quick succession from asking for a token each.
 	doubtPause = 200 * time.Millisecond
+	// leavePoll is how often a leaving agent looks whether it may go.
+	leavePoll = 50 * time.Millisecond
 )
 
 // Options configures an Agent.
@@ -72,6 +80,9 @@
 	results  []*flowpb.StartResult
 	doubtAt  time.Duration
 	refused  int
+	// leaving tells that the agent is about to end, busy that tasks which end still run.
+	leaving bool
+	busy    bool
 }
 
 // New returns an Agent; Run must be called next.
@@ -156,6 +167,9 @@
 func (a *Agent) Announce(r *flowpb.Runner) {
 	a.loop.Post(func() {
 		before := a.c.runner
+		if a.c.leaving {
+			r = leavingRunner(r)
+		}
 		a.c.runner = r
 		switch {
 		case before == nil || before.GetId() != r.GetId() || before.GetBorn() != r.GetBorn():
@@ -171,6 +185,31 @@
 	})
 }
 
+// Leave tells the owner to place nothing more here, and waits until what runs has ended, but
+// for tasks that last, or until ctx ends.
+func (a *Agent) Leave(ctx context.Context) {
+	_ = a.loop.Do(func() {
+		a.c.leaving = true
+		if a.c.runner != nil {
+			a.c.runner = leavingRunner(a.c.runner)
+		}
+		a.report(&flowpb.Report{})
+	})
+	for ctx.Err() == nil {
+		busy := true
+		if a.loop.Do(func() { busy = a.c.busy }) != nil || !busy {
+			return
+		}
+		loop.Pause(ctx, leavePoll)
+	}
+}
+
+func leavingRunner(r *flowpb.Runner) *flowpb.Runner {
+	leaving := proto.CloneOf(r)
+	leaving.AgentLeaving = true
+	return leaving
+}
+
 // sync asks the owner for a new token; gone tells that the runner runs no more.
 func (a *Agent) sync(gone bool) {
 	a.c.token, a.c.confirmed, a.c.results = 0, false, nil
--- a/internal/flow/agent/hold.go
+++ b/internal/flow/agent/hold.go
@@ -13,14 +13,17 @@
 const (
 	// holdWait is how long the runner may hold an answer back for an end. A lease is
 	// renewed about this often.
-	holdWait = 700 * time.Millisecond
-	// holdTimeout bounds a hold beyond its wait.
-	holdTimeout = 600 * time.Millisecond
-	holdRetry   = 60 * time.Millisecond
+	holdWait = 500 * time.Millisecond
+	// holdTimeout bounds a hold beyond its wait: an end is heard of this much late if the
+	// answer to a hold is lost.
+	holdTimeout = 150 * time.Millisecond
+	holdRetry   = 20 * time.Millisecond
 	// settleWait is how long to wait for the owner to settle ends before they are listed again.
 	settleWait = 250 * time.Millisecond
 	// refusedGone is how many refused connections in a row show that the runner is gone.
 	refusedGone = 2
+	// percentFull is the progress of a task that lasts and is at work.
+	percentFull = 100
 )
 
 // hold asks the runner again and again what it holds, and extends its lease by the way.
@@ -96,7 +99,10 @@
 	first := !a.c.confirmed
 	a.c.confirmed = true
 	message := &flowpb.Report{Listed: true}
+	a.c.busy = len(report.Ended) > 0
 	for _, r := range report.Running {
+		// A task that lasts reports its tail and full progress from its start on.
+		a.c.busy = a.c.busy || r.Percent < percentFull
 		message.Running = append(message.Running, &flowpb.Run{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Gauge: r.Gauge})
 	}
 	for _, e := range report.Ended {
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -8,13 +8,20 @@
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
-// call runs f beside the loop, bounded in time, and then after on the loop.
+// call runs f beside the loop until it is answered, a few times at most, and then after on
+// the loop.
 func (a *Agent) call(f func(ctx context.Context) error, after func(error)) {
 	go func() {
 		a.starts <- struct{}{}
-		ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
-		err := f(ctx)
-		cancel()
+		var err error
+		for range orderTries {
+			ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
+			err = f(ctx)
+			cancel()
+			if !errors.Is(err, driver.ErrRunnerSilent) {
+				break
+			}
+		}
 		<-a.starts
 		a.loop.Post(func() { after(err) })
 	}()
--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -12,7 +12,7 @@
 // will be done.
 const (
 	// admitShare is how much of the runners' capacity the work that waits can count on.
-	admitShare = 0.9
+	admitShare = 0.75
 	// retryLeast and retryMost bound the time after which a refused client may return.
 	retryLeast = time.Second
 	retryMost  = 10 * time.Second
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -24,8 +24,8 @@
 	paceStep = 8
 	// paceFirst is the pace, in percent, of a task that starts beside tasks which it may
 	// disturb, and paceRise what it may gain in one interval.
-	paceFirst = 40
-	paceRise  = 20
+	paceFirst = 60
+	paceRise  = 30
 	// releaseAfter is how long a task that fills is held back before it is stopped, and
 	// releaseProgress how far, in percent, one that does not checkpoint may have come.
 	releaseAfter    = 1200 * time.Millisecond
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -226,7 +226,8 @@
 	weightApart    = 100.0
 	weightBeside   = 10.0
 	weightSame     = 100.0
-	weightMixed    = 60.0
+	weightPacked   = 40.0
+	weightMixed    = 10.0
 	weightRack     = 1000.0
 	weightFailedOn = 500.0
 	weightFit      = 1.0
@@ -252,6 +253,9 @@
 	case s.serves():
 		score += scoreServing(p.worker, s.def.GetImage()) - weightFit*free
 	default:
+		if p.serving {
+			score += weightBeside
+		}
 		score += weightFit * free
 	}
 	return score
@@ -270,6 +274,9 @@
 			others[r.task.step.def.GetImage()] = true
 		}
 	}
+	if len(others) > 0 {
+		score += weightPacked
+	}
 	return score - weightMixed*float64(len(others))
 }
 
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -30,8 +30,8 @@
 	redialPause = 150 * time.Millisecond
 	// rankSpan spreads candidates by their share of a processor, so that the strongest
 	// takes the cell, and jitterSpan spreads equal ones.
-	rankSpan   = 250 * time.Millisecond
-	jitterSpan = 60 * time.Millisecond
+	rankSpan   = 120 * time.Millisecond
+	jitterSpan = 40 * time.Millisecond
 	// ownerPoll is how often an owner looks whether another entry should own the cell.
 	ownerPoll = 100 * time.Millisecond
 	// resignSilence is how long the store may be silent for an owner while other entries
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -27,6 +27,8 @@
 	// releaseTimeout bounds how long a leaving owner tries to give up its cell.
 	releaseTimeout = time.Second
 	loadRetry      = 100 * time.Millisecond
+	// learnedInterval is how often what was learned is stored for the next owner.
+	learnedInterval = 2 * time.Second
 )
 
 // Options configures an Owner.
@@ -49,7 +51,7 @@
 	ledger  *Ledger
 	loop    *loop.Loop
 	engine  *engine.Engine
-	commits chan *engine.Batch
+	commits chan commit
 	c       control
 	// storeSilent is when the commit under way began, on the steady clock, or 0.
 	storeSilent atomic.Int64
@@ -59,6 +61,12 @@
 	abandon context.CancelFunc
 }
 
+// commit is what is stored at once; both parts may be missing.
+type commit struct {
+	batch   *engine.Batch
+	learned *flowpb.Learned
+}
+
 // control is what only the loop's goroutine touches.
 type control struct {
 	links      map[string]*link.Link
@@ -66,6 +74,7 @@
 	lastCall   uint64
 	committing bool
 	touched    time.Duration
+	learnedAt  time.Duration
 	stopped    bool
 	retired    bool
 }
@@ -73,27 +82,28 @@
 // New loads a cell that has been taken. Run must be called next.
 func New(ctx context.Context, o Options, queues map[string]engine.Queue) (w *Owner, err error) {
 	w = &Owner{
-		options: o, ledger: o.Ledger, loop: loop.New(), commits: make(chan *engine.Batch, 1),
+		options: o, ledger: o.Ledger, loop: loop.New(), commits: make(chan commit, 1),
 		engine: engine.New(engine.Options{Epoch: o.Ledger.Epoch(), Lease: o.Lease, Retention: o.Retention, FarFactor: o.FarFactor, LateFactor: lateFactor, Log: o.Log}),
 		c:      control{links: map[string]*link.Link{}, calls: map[uint64]func(*flowpb.Reply){}},
 	}
 	w.trying, w.abandon = context.WithCancel(context.WithoutCancel(ctx))
 	began := o.Clock()
-	jobs, progress, err := o.Ledger.Load(ctx)
+	stored, err := o.Ledger.Load(ctx)
 	for err != nil && ctx.Err() == nil {
 		o.Log.Warn("cell was not loaded; trying again", "cell", o.Cell, "error", err.Error())
 		loop.Pause(ctx, loadRetry)
-		jobs, progress, err = o.Ledger.Load(ctx)
+		stored, err = o.Ledger.Load(ctx)
 	}
 	if err != nil {
 		return nil, err
 	}
-	for id, p := range progress {
-		if jobs[id] == nil {
+	w.engine.Recall(stored.Learned)
+	for id, p := range stored.Progress {
+		if stored.Jobs[id] == nil {
 			o.Log.Error("progress without its job is passed over", "job", id)
 			continue
 		}
-		if err := w.engine.Restore(jobs[id], p, w.now()); err != nil {
+		if err := w.engine.Restore(stored.Jobs[id], p, w.now()); err != nil {
 			o.Log.Error("job can't be restored and is passed over", "job", id, "error", err.Error())
 		}
 	}
@@ -175,10 +185,10 @@
 func (w *Owner) commitLoop(ctx context.Context) error {
 	for {
 		select {
-		case b := <-w.commits:
+		case c := <-w.commits:
 			patient, cancel := context.WithCancel(w.trying)
 			release := context.AfterFunc(ctx, func() { time.AfterFunc(releaseTimeout, cancel) })
-			err := w.commit(patient, b)
+			err := w.commit(patient, c)
 			release()
 			cancel()
 			if err != nil {
@@ -192,14 +202,15 @@
 	}
 }
 
-func (w *Owner) commit(ctx context.Context, b *engine.Batch) error {
+func (w *Owner) commit(ctx context.Context, c commit) error {
+	b := c.batch
 	began := w.options.Clock()
 	w.storeSilent.Store(int64(began))
 	var changes []engine.Change
 	if b != nil {
 		changes = b.Changes()
 	}
-	confirmed, err := w.ledger.Commit(ctx, changes)
+	confirmed, err := w.ledger.Commit(ctx, changes, c.learned)
 	took := w.options.Clock() - began
 	w.options.Metrics.Commit(took, len(changes), err)
 	if err != nil {
@@ -227,12 +238,15 @@
 	}
 	w.engine.Place(w.now())
 	if !w.c.committing {
-		if b := w.engine.Take(CommitJobs); b != nil {
-			w.c.committing = true
-			w.commits <- b
-		} else if w.options.Clock()-w.c.touched > touchInterval {
+		now := w.options.Clock()
+		c := commit{batch: w.engine.Take(CommitJobs)}
+		if now-w.c.learnedAt > learnedInterval {
+			w.c.learnedAt = now
+			c.learned = w.engine.Learned()
+		}
+		if c.batch != nil || c.learned != nil || now-w.c.touched > touchInterval {
 			w.c.committing = true
-			w.commits <- nil
+			w.commits <- c
 		}
 	}
 	w.carryOut()
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -23,12 +23,13 @@
 	keyOwner       = "/owner"
 	prefixJob      = "/job/"
 	prefixProgress = "/run/"
+	keyLearned     = "/learned"
 )
 
 const (
 	// CommitJobs is how many jobs one commit may hold: each takes up to two of the entries
-	// of a transaction, and the head takes two.
-	CommitJobs = (driver.TxnMaxEntries - 2) / 2
+	// of a transaction, the head takes two, and what was learned one.
+	CommitJobs = (driver.TxnMaxEntries - 3) / 2
 	// commitTimeout is how long one attempt may take; a slow store answers in 0.4 s.
 	commitTimeout = time.Second
 	commitRetry   = 60 * time.Millisecond
@@ -104,37 +105,51 @@
 	return data
 }
 
-// Load reads all jobs of the cell.
-func (l *Ledger) Load(ctx context.Context) (jobs map[string]*flowpb.Job, progress map[string]*flowpb.Progress, err error) {
+// Stored is the durable state of a cell.
+type Stored struct {
+	Jobs     map[string]*flowpb.Job
+	Progress map[string]*flowpb.Progress
+	Learned  *flowpb.Learned
+}
+
+// Load reads the durable state of the cell.
+func (l *Ledger) Load(ctx context.Context) (s *Stored, err error) {
 	defer errs.Annotate(&err, "owner: load cell %s", l.cell)
 	items, _, err := l.store.List(ctx, l.cell+"/")
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	jobs, progress = map[string]*flowpb.Job{}, map[string]*flowpb.Progress{}
+	s = &Stored{Jobs: map[string]*flowpb.Job{}, Progress: map[string]*flowpb.Progress{}, Learned: &flowpb.Learned{}}
 	for _, item := range items {
 		switch rest := strings.TrimPrefix(item.Key(), l.cell); {
+		case rest == keyLearned:
+			if err = proto.Unmarshal(item.Value(), s.Learned); err != nil {
+				return nil, fmt.Errorf("%s: %w", item.Key(), err)
+			}
 		case strings.HasPrefix(rest, prefixJob):
 			j := &flowpb.Job{}
 			if err = proto.Unmarshal(item.Value(), j); err != nil {
-				return nil, nil, fmt.Errorf("%s: %w", item.Key(), err)
+				return nil, fmt.Errorf("%s: %w", item.Key(), err)
 			}
-			jobs[strings.TrimPrefix(rest, prefixJob)] = j
+			s.Jobs[strings.TrimPrefix(rest, prefixJob)] = j
 		case strings.HasPrefix(rest, prefixProgress):
 			p := &flowpb.Progress{}
 			if err = proto.Unmarshal(item.Value(), p); err != nil {
-				return nil, nil, fmt.Errorf("%s: %w", item.Key(), err)
+				return nil, fmt.Errorf("%s: %w", item.Key(), err)
 			}
-			progress[strings.TrimPrefix(rest, prefixProgress)] = p
+			s.Progress[strings.TrimPrefix(rest, prefixProgress)] = p
 		}
 	}
-	return jobs, progress, nil
+	return s, nil
 }
 
 // Commit stores changes, which takes as long as the store needs to take them, and returns
 // when the attempt began that proves that the cell was still owned.
-func (l *Ledger) Commit(ctx context.Context, changes []engine.Change) (confirmed time.Duration, err error) {
+func (l *Ledger) Commit(ctx context.Context, changes []engine.Change, learned *flowpb.Learned) (confirmed time.Duration, err error) {
 	var puts []driver.Put
+	if learned != nil {
+		puts = append(puts, driver.Put{Key: l.cell + keyLearned, Value: marshal(learned)})
+	}
 	var deletes []string
 	for _, c := range changes {
 		if c.Progress == nil {
