--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -125,6 +125,10 @@
 	}
 	l.Chain = e.estimates.millis(j.queue.Name, first.longestChain())
 	l.Allowed = j.queue.Stretch*l.Chain + float64(j.queue.Target.Milliseconds())
+	if !fills {
+		// Others give way to it, so that the estimate of its wait is a poor one.
+		l.Allowed *= e.options.LateFactor
+	}
 	return l, true
 }
 
--- a/internal/flow/engine/rate.go
+++ b/internal/flow/engine/rate.go
@@ -9,7 +9,10 @@
 	// rateWeight is the weight of one more sample under a backlog.
 	rateWeight = 0.06
 	// rateRise is how fast the rate rises while nothing waits.
-	rateRise = 1.02
+	rateRise = 1.05
+	// rateLeast is the least rate, as a share of what tasks that last leave, so that refusing
+	// work can't lower the rate which has it refused.
+	rateLeast = 0.4
 	// rateMost bounds the rate where nothing was ever held back.
 	rateMost = 1e12
 )
@@ -33,9 +36,16 @@
 		return
 	}
 	e.rated = now
-	atWork := 0.0
+	atWork, left := 0.0, 0.0
 	for _, w := range e.workers {
+		left += float64(w.info.GetMilliCpu())
 		for _, r := range w.runs {
+			switch {
+			case r.task.step.serves():
+				left -= servingUse * float64(r.cpu)
+			case r.task.step.def.GetLasting():
+				left -= float64(r.cpu)
+			}
 			if !r.task.step.def.GetLasting() && r.phase == phaseStarted {
 				atWork += float64(r.cpu) * float64(r.pace) / paceFull
 			}
@@ -43,6 +53,6 @@
 	}
 	backlog := len(e.claims(now)) > 0
 	if e.rate > 0 || backlog {
-		e.rate = e.rate.next(atWork, backlog)
+		e.rate = max(e.rate.next(atWork, backlog), rate(rateLeast*left))
 	}
 }
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -36,8 +36,8 @@
 	ownerPoll = 100 * time.Millisecond
 	// resignSilence is how long the store may be silent for an owner while other entries
 	// hear it, before the owner gives up the cell.
-	resignSilence = 900 * time.Millisecond
-	freshStore    = 600 * time.Millisecond
+	resignSilence = 700 * time.Millisecond
+	freshStore    = 900 * time.Millisecond
 	// isolatedAfter is how long an owner that had agents may have none.
 	isolatedAfter = 1500 * time.Millisecond
 	// resignPause keeps a process that gave up the cell from taking it again at once.
@@ -139,7 +139,10 @@
 	case record.GetNode() == self.Node:
 		n.candidate(ctx, changed, "the owner was an earlier life of this process")
 	default:
-		n.follow(ctx, record, changed)
+		// What follows a lost owner must outlive the change of the record that it makes.
+		if reason := n.follow(ctx, record, changed); reason != "" && ctx.Err() == nil {
+			n.candidate(ctx, changed, reason)
+		}
 	}
 }
 
@@ -155,8 +158,9 @@
 	return false
 }
 
-// follow keeps a link to the owner for as long as it lives and stays the owner.
-func (n *Node) follow(ctx context.Context, record *flowpb.Owner, changed <-chan struct{}) {
+// follow keeps a link to the owner for as long as it lives and stays the owner. It returns
+// why the cell should be taken, or "".
+func (n *Node) follow(ctx context.Context, record *flowpb.Owner, changed <-chan struct{}) (reason string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := loop.Go(ctx, func(ctx context.Context) {
@@ -170,19 +174,17 @@
 	l, welcome, err := link.Dial(ctx, record.GetAddress(), &flowpb.Hello{Node: n.options.Identity.Node, Incarnation: n.options.Identity.Incarnation, Zone: n.options.Zone})
 	if err == nil && welcome.GetError() != "" {
 		l.Close()
-		n.candidate(ctx, changed, "the owner says: "+welcome.GetError())
-		return
+		return "the owner says: " + welcome.GetError()
 	}
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.candidate(ctx, changed, "no process listens at the owner's address")
-			return
+			return "no process listens at the owner's address"
 		}
 		if ctx.Err() == nil {
 			n.options.Log.Warn("owner not reached", "owner", record.GetNode(), "epoch", record.GetEpoch(), "error", err.Error())
-			n.suspect(ctx, changed)
+			return n.suspect(ctx, changed)
 		}
-		return
+		return ""
 	}
 	c := newClient(l)
 	n.setClient(c)
@@ -192,6 +194,7 @@
 	if ctx.Err() == nil {
 		n.options.Log.Warn("owner lost", "owner", record.GetNode(), "epoch", record.GetEpoch())
 	}
+	return ""
 }
 
 func (n *Node) beat() *flowpb.Beat {
@@ -209,23 +212,24 @@
 	n.changed = make(chan struct{})
 }
 
-// suspect takes the cell if its head stands still, which a living owner does not let happen.
-func (n *Node) suspect(ctx context.Context, changed <-chan struct{}) {
+// suspect tells that the cell should be taken if its head stands still, which a living owner
+// does not let happen.
+func (n *Node) suspect(ctx context.Context, changed <-chan struct{}) (reason string) {
 	before, err := n.head(ctx)
 	if err != nil {
 		n.options.Log.Warn("head not read", "error", err.Error())
 		n.waitChange(ctx, changed, redialPause)
-		return
+		return ""
 	}
 	if n.waitChange(ctx, changed, headStill) {
-		return
+		return ""
 	}
 	after, err := n.head(ctx)
 	if err != nil || after != before {
 		n.waitChange(ctx, changed, redialPause)
-		return
+		return ""
 	}
-	n.candidate(ctx, changed, "the owner is silent and the head stands still")
+	return "the owner is silent and the head stands still"
 }
 
 func (n *Node) head(ctx context.Context) (uint64, error) {
