Refuse nothing before a new owner has heard from the runners

Cause: after a takeover no runner is synchronised yet and the capacity that admission counts on was zero or below, so proof-checks were refused; lasting tasks that found no room were taken off the capacity all the same.

Change: 1.5 s of settling without refusals for want of room; lasting tasks count while they run.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
@@ -16,6 +17,9 @@
 	// retryLeast and retryMost bound the time after which a refused client may return.
 	retryLeast = time.Second
 	retryMost  = 10 * time.Second
+	// settleTime is how long a new owner may take to hear from the runners; nothing is
+	// refused for want of room meanwhile.
+	settleTime = 1500 * time.Millisecond
 )
 
 // Load is what admission looks at.
@@ -75,9 +79,9 @@
 	def.AcceptedUnixMillis = now.Unix
 	j := &job{def: def, queue: q, arrived: now.Steady, replies: []uint64{call}}
 	first := newOccurrence(j, 0, now.Steady)
-	if load, sheds := e.load(j, first); sheds {
+	if load, sheds := e.load(j, first); sheds && e.settled(now.Steady) {
 		if ok, after := Admit(load); !ok {
-			refuse(flowpb.Status_STATUS_REJECTED, after, "overload")
+			refuse(flowpb.Status_STATUS_REJECTED, after, fmt.Sprintf("overload: %.0f core-seconds wait for %d cores, a wait of %.0f ms is allowed", load.Backlog/1e6, load.Capacity/1000, load.Allowed))
 			return
 		}
 	}
@@ -91,6 +95,14 @@
 	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.longestChain(), "open", len(e.open))
 }
 
+// settled reports whether the engine has had the time to hear from the runners.
+func (e *Engine) settled(now time.Duration) bool {
+	if e.since == 0 {
+		e.since = now
+	}
+	return now-e.since > settleTime
+}
+
 // load returns what admission looks at, and whether the job is one that may be shed.
 func (e *Engine) load(j *job, first *occurrence) (l Load, sheds bool) {
 	for _, s := range j.def.GetSteps() {
@@ -148,7 +160,9 @@
 				if fills && s.serves() {
 					used *= servingUse
 				}
-				*capacity -= int64(float64(s.left) * used)
+				for _, t := range s.tasks {
+					*capacity -= int64(float64(len(t.runs)) * used)
+				}
 				continue
 			}
 			each := e.estimates.millis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -49,7 +49,9 @@
 	storeFailing bool
 	stirred      bool
 	// inFlight counts batches that were taken and are not committed.
-	inFlight  int
+	inFlight int
+	// since is when this owner began to decide.
+	since     time.Duration
 	paced     time.Duration
 	rated     time.Duration
 	estimates estimates
@@ -283,6 +285,7 @@
 
 // Tick does what time alone brings about, and places what waits.
 func (e *Engine) Tick(now Moment) {
+	e.settled(now.Steady)
 	for _, w := range e.workers {
 		e.watch(w, now.Steady)
 	}
