Score seats once a step, and place only before a commit

Cause: at 58 runners the owner spent 0.43 of a core at the busiest second and half of the proof-checks were late: each placement scored every seat for every task of a step, with a pacing decision each, after every event.

Change: the seats' offers are worked out once a step and again only for the seat that was taken; placement runs when a commit can start; ended jobs are looked through once a second.

--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -16,6 +16,8 @@
 	stopRetry = 500 * time.Millisecond
 	// retryPause keeps a task that failed at once from being started in a tight loop.
 	retryPause = 20 * time.Millisecond
+	// expireInterval is how often ended jobs are looked through.
+	expireInterval = time.Second
 )
 
 // Options configures an Engine.
@@ -50,6 +52,8 @@
 	stirred      bool
 	// inFlight counts batches that were taken and are not committed.
 	inFlight int
+	// expired is when ended jobs were last forgotten.
+	expired time.Duration
 	// since is when this owner began to decide.
 	since     time.Duration
 	paced     time.Duration
@@ -290,11 +294,14 @@
 		e.watch(w, now.Steady)
 	}
 	e.beginDue(now)
-	e.expire(now)
+	if now.Steady-e.expired > expireInterval {
+		e.expired = now.Steady
+		e.expire(now)
+	}
 	e.measureRate(now.Steady)
 	e.pace(now.Steady)
+	// Time alone lets waits and pauses end.
 	e.stirred = true
-	e.Place(now)
 }
 
 // watch loses what ran on a worker whose lease has ended, and repeats stops.
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -63,23 +63,76 @@
 		e.placeGang(s, seats, now)
 		return
 	}
+	offers := e.offers(s, seats, "", now)
 	short := false
 	for _, t := range s.tasks {
 		if !t.waits(now) {
 			continue
 		}
-		best := e.bestSeat(t, seats, "", now)
+		best := bestOffer(t, offers)
 		if best == nil {
 			short = true
-			continue
+			break
 		}
-		e.plan(t, best, t.lastRun+1, now)
+		e.plan(t, best.seat, t.lastRun+1, now)
+		e.refresh(best, s, now)
 	}
 	if short && (c.Priority == 0 || c.Lasting) {
 		e.preempt(s, now)
 	}
 }
 
+// offer is what a seat is worth to the tasks of one step.
+type offer struct {
+	seat    *seat
+	allowed bool
+	score   float64
+}
+
+// offers lists what the seats of a rack, or of all racks, are worth to a step.
+func (e *Engine) offers(s *step, seats []*seat, rack string, now time.Duration) []offer {
+	offers := make([]offer, 0, len(seats))
+	for _, p := range seats {
+		if rack != "" && p.rack != rack {
+			continue
+		}
+		o := offer{seat: p}
+		e.refresh(&o, s, now)
+		if o.allowed {
+			offers = append(offers, o)
+		}
+	}
+	return offers
+}
+
+// refresh works out an offer anew after its seat has changed.
+func (e *Engine) refresh(o *offer, s *step, now time.Duration) {
+	o.allowed = e.allowed(s, o.seat, now)
+	if o.allowed {
+		o.score = e.score(s, o.seat)
+	}
+}
+
+// bestOffer returns the offer that is worth most to a task, or nil.
+func bestOffer(t *task, offers []offer) *offer {
+	var best *offer
+	bestScore := 0.0
+	for i := range offers {
+		o := &offers[i]
+		if !o.allowed {
+			continue
+		}
+		score := o.score
+		if t.failedOn[o.seat.worker.node] {
+			score -= weightFailedOn
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = o, score
+		}
+	}
+	return best
+}
+
 // placeGang places all tasks of a gang or none.
 func (e *Engine) placeGang(s *step, seats []*seat, now time.Duration) {
 	number := uint32(0)
@@ -110,16 +163,18 @@
 // gangSeats reserves a seat for each task of a gang, or nothing.
 func (e *Engine) gangSeats(s *step, seats []*seat, rack string, now time.Duration) []*seat {
 	var chosen []*seat
+	offers := e.offers(s, seats, rack, now)
 	for _, t := range s.tasks {
-		best := e.bestSeat(t, seats, rack, now)
+		best := bestOffer(t, offers)
 		if best == nil {
 			for _, c := range chosen {
 				c.give(s)
 			}
 			return nil
 		}
-		best.take(s)
-		chosen = append(chosen, best)
+		best.seat.take(s)
+		e.refresh(best, s, now)
+		chosen = append(chosen, best.seat)
 	}
 	return chosen
 }
@@ -156,29 +211,14 @@
 	}
 }
 
-// bestSeat returns where a task is placed best, or nil.
-func (e *Engine) bestSeat(t *task, seats []*seat, rack string, now time.Duration) *seat {
-	var best *seat
-	bestScore := 0.0
-	for _, p := range seats {
-		if rack != "" && p.rack != rack || !e.allowed(t, p, now) {
-			continue
-		}
-		if score := e.score(t, p); best == nil || score > bestScore {
-			best, bestScore = p, score
-		}
-	}
-	return best
-}
-
-// allowed reports whether a task is to run on a seat.
-func (e *Engine) allowed(t *task, p *seat, now time.Duration) bool {
-	return e.placeable(t, p) && (!t.step.def.GetFills() || e.allowedToFill(t, p, now))
+// allowed reports whether a task of a step is to run on a seat.
+func (e *Engine) allowed(s *step, p *seat, now time.Duration) bool {
+	return e.placeable(s, p) && (!s.def.GetFills() || e.allowedToFill(s, p, now))
 }
 
 // placeable reports whether the rules let a task run on a seat and it has room.
-func (e *Engine) placeable(t *task, p *seat) bool {
-	s, w := t.step, p.worker
+func (e *Engine) placeable(s *step, p *seat) bool {
+	w := p.worker
 	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) || !s.need().Fits(p.free) {
 		return false
 	}
@@ -213,11 +253,22 @@
 
 // allowedToFill reports whether a task that fills finds idle processors on a seat, and is
 // not held back there for the sake of tasks that serve.
-func (e *Engine) allowedToFill(t *task, p *seat, now time.Duration) bool {
-	if p.idle < t.step.def.GetMilliCpu() {
+func (e *Engine) allowedToFill(s *step, p *seat, now time.Duration) bool {
+	if p.idle < s.def.GetMilliCpu() {
 		return false
 	}
-	return !p.serving || now-t.waitSince > fillPatience || e.expectedPace(p.worker, t.step) >= fillPaceLeast
+	return !p.serving || now-s.waitSince() > fillPatience || e.expectedPace(p.worker, s) >= fillPaceLeast
+}
+
+// waitSince returns since when the task of the step that has waited longest waits.
+func (s *step) waitSince() time.Duration {
+	since := time.Duration(-1)
+	for _, t := range s.tasks {
+		if !t.done && len(t.runs) == 0 && (since < 0 || t.waitSince < since) {
+			since = t.waitSince
+		}
+	}
+	return since
 }
 
 // Weights of a placement. Tasks that fill harm tasks that serve beside them, so the two are
@@ -233,16 +284,12 @@
 	weightFit      = 1.0
 )
 
-func (e *Engine) score(t *task, p *seat) float64 {
-	s := t.step
+func (e *Engine) score(s *step, p *seat) float64 {
 	capacity := float64(max(p.worker.info.GetMilliCpu(), 1))
 	score := 0.0
 	if near := s.def.GetNearRack(); near != "" && p.rack != near && !p.worker.hasLabel(near) {
 		score -= weightRack
 	}
-	if t.failedOn[p.worker.node] {
-		score -= weightFailedOn
-	}
 	free := float64(p.free.MilliCPU()) / capacity
 	switch {
 	case s.def.GetFills():
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -236,8 +236,9 @@
 	if w.c.stopped {
 		return
 	}
-	w.engine.Place(w.now())
 	if !w.c.committing {
+		// What is placed while a commit is under way could not start before the next one.
+		w.engine.Place(w.now())
 		now := w.options.Clock()
 		c := commit{batch: w.engine.Take(CommitJobs)}
 		if now-w.c.learnedAt > learnedInterval {
