--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -149,8 +149,14 @@
 	}
 }
 
-// wanted reports whether a run still has a purpose.
-func (e *Engine) wanted(r *run) bool { return r.task.step.job().open() && !r.task.done }
+// wanted reports whether a run may go on. The members of a gang that is done end by
+// themselves.
+func (e *Engine) wanted(r *run) bool {
+	if r.task.done {
+		return r.task.step.def.GetGang()
+	}
+	return r.task.step.job().open()
+}
 
 func (e *Engine) startResult(w *worker, result *flowpb.StartResult, now time.Duration) {
 	r := w.runs[driver.RunID{Task: result.GetTask(), Run: result.GetRun()}]
@@ -217,7 +223,10 @@
 	switch {
 	case kind == driver.EndDone && !t.step.def.GetLasting():
 		w.health.worked()
-		e.estimates.observe(j.queue.Name, t.step.def, now.Steady-r.started)
+		if !t.step.def.GetFills() || r.pace == paceFull {
+			w.speed.observe(float64(now.Steady-r.started) / float64(e.expected(r)))
+			e.estimates.observe(j.queue.Name, t.step.def, now.Steady-r.started)
+		}
 		e.finish(t, now)
 	case kind == driver.EndFailed:
 		e.failed(r, now)
@@ -271,10 +280,7 @@
 	t, j := r.task, r.task.step.job()
 	t.failures++
 	t.notBefore = now.Steady + retryPause
-	if t.failedOn == nil {
-		t.failedOn = map[string]bool{}
-	}
-	t.failedOn[r.worker.node] = true
+	t.avoid(r.worker)
 	r.worker.health.failed(j.id(), now.Steady)
 	failures := t.failures
 	if t.step.def.GetGang() {
@@ -313,7 +319,11 @@
 	j.outcome, j.endedUnix = outcome, now.Unix
 	delete(e.open, j.id())
 	e.options.Log.Info("job ends", "job", j.id(), "queue", j.queue.Name, "outcome", outcome.String(), "reason", reason, "age-ms", (now.Steady - j.arrived).Milliseconds())
-	j.live(func(r *run) { e.stop(r, now.Steady, reason) })
+	j.live(func(r *run) {
+		if !r.task.done || !e.wanted(r) {
+			e.stop(r, now.Steady, reason)
+		}
+	})
 	e.mark(j)
 }
 
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -52,6 +52,8 @@
 	stirred      bool
 	// inFlight counts batches that were taken and are not committed.
 	inFlight int
+	// straggled is when stragglers were last looked for.
+	straggled time.Duration
 	// expired is when ended jobs were last forgotten.
 	expired time.Duration
 	// since is when this owner began to decide.
@@ -300,6 +302,8 @@
 	}
 	e.measureRate(now.Steady)
 	e.pace(now.Steady)
+	e.evacuate(now.Steady)
+	e.straggle(now.Steady)
 	// Time alone lets waits and pauses end.
 	e.stirred = true
 }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -138,8 +138,16 @@
 	// notBefore delays the next start of a task that has just failed.
 	notBefore time.Duration
 	waitSince time.Duration
-	// failedOn are the nodes where a run failed.
-	failedOn map[string]bool
+	// avoided are the nodes where a run failed, stood still or was slow.
+	avoided map[string]bool
+}
+
+// avoid has later runs placed elsewhere if there is room.
+func (t *task) avoid(w *worker) {
+	if t.avoided == nil {
+		t.avoided = map[string]bool{}
+	}
+	t.avoided[w.node] = true
 }
 
 func (t *task) name() string { return t.step.name() + "." + strconv.Itoa(t.index) }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -123,8 +123,8 @@
 			continue
 		}
 		score := o.score
-		if t.failedOn[o.seat.worker.node] {
-			score -= weightFailedOn
+		if t.avoided[o.seat.worker.node] {
+			score -= weightAvoided
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = o, score
@@ -274,14 +274,14 @@
 // Weights of a placement. Tasks that fill harm tasks that serve beside them, so the two are
 // kept apart while there is room; tasks that serve are packed by image.
 const (
-	weightApart    = 100.0
-	weightBeside   = 10.0
-	weightSame     = 100.0
-	weightPacked   = 40.0
-	weightMixed    = 10.0
-	weightRack     = 1000.0
-	weightFailedOn = 500.0
-	weightFit      = 1.0
+	weightApart   = 100.0
+	weightBeside  = 10.0
+	weightSame    = 100.0
+	weightPacked  = 40.0
+	weightMixed   = 10.0
+	weightRack    = 1000.0
+	weightAvoided = 500.0
+	weightFit     = 1.0
 )
 
 func (e *Engine) score(s *step, p *seat) float64 {
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -40,6 +40,7 @@
 	// resyncAt is when the agent was last asked to synchronise.
 	resyncAt time.Duration
 	health   health
+	speed    speed
 	usage    usage
 	// full is until when the runner is taken to have less room than it says.
 	fullUntil time.Duration
