--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -52,6 +52,8 @@
 	stirred      bool
 	// inFlight counts batches that were taken and are not committed.
 	inFlight int
+	// emptied are ids of runners that are to be empty.
+	emptied map[string]bool
 	// straggled is when stragglers were last looked for.
 	straggled time.Duration
 	// expired is when ended jobs were last forgotten.
--- /dev/null
+++ b/internal/flow/engine/evacuate.go
@@ -0,0 +1,94 @@
+package engine
+
+import "time"
+
+// Empty has tasks moved off the runners with these ids, and no new ones placed there.
+func (e *Engine) Empty(runners []string) {
+	e.emptied = map[string]bool{}
+	for _, id := range runners {
+		e.emptied[id] = true
+	}
+}
+
+// Occupation returns how many tasks run on a runner, and how many of them may not be moved
+// off now since too many of their step are away.
+func (e *Engine) Occupation(runner string) (runs, held int) {
+	for _, w := range e.workers {
+		if w.info.GetId() != runner {
+			continue
+		}
+		for _, r := range w.runs {
+			runs++
+			if !r.mayMiss() {
+				held++
+			}
+		}
+	}
+	return runs, held
+}
+
+// mayMiss reports whether our stopping a run would keep its step's disruption budget.
+func (r *run) mayMiss() bool {
+	s := r.task.step
+	if !s.def.GetLasting() || s.def.GetMayMiss() == 0 || r.phase != phaseStarted || r.percent < paceFull {
+		return true
+	}
+	away := uint32(0)
+	for _, t := range s.tasks {
+		if t != r.task && !t.atWork() {
+			away++
+		}
+	}
+	return away < s.def.GetMayMiss()
+}
+
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.phase == phaseStarted && r.percent >= paceFull {
+			return true
+		}
+	}
+	return false
+}
+
+// evacuate moves work off runners that leave or are to be emptied: what lasts at once, within
+// its budget, the rest if it would not be done in the time that is left.
+func (e *Engine) evacuate(now time.Duration) {
+	for _, w := range e.sortedWorkers() {
+		draining, emptied := w.info.GetDraining(), e.emptied[w.info.GetId()]
+		if !draining && !emptied || !w.connected || !w.synced {
+			continue
+		}
+		left := time.Duration(w.info.GetRemainingMillis())*time.Millisecond - (now - w.reported)
+		if !draining {
+			left = 0
+		}
+		for _, r := range w.runs {
+			// A runner that leaves ends what is on it, whatever the budget.
+			if r.phase == phaseStarted && (draining || r.mayMiss()) && e.leaves(r, left, now) {
+				e.stop(r, now, "the runner is to be empty")
+			}
+		}
+	}
+}
+
+// leaves reports whether a run should go on elsewhere, with that much time left here.
+func (e *Engine) leaves(r *run, left, now time.Duration) bool {
+	s := r.task.step
+	if s.def.GetGang() {
+		return false
+	}
+	rest := e.expected(r) - (now - r.started)
+	if r.percent > 0 {
+		rest = time.Duration(float64(now-r.started) * float64(paceFull-min(r.percent, paceFull)) / float64(r.percent))
+	}
+	if !s.def.GetLasting() && (rest <= left || !s.def.GetCheckpoints() && r.percent > slowMove) {
+		return false
+	}
+	for _, p := range e.seats(now) {
+		if p.worker != r.worker && e.placeable(s, p, now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -99,7 +99,11 @@
 	// chain is the estimate of the longest chain of work from this step on, in milliseconds.
 	chain int64
 	// tickets of the admission service by runner id.
-	tickets     map[string]ticket
+	tickets map[string]ticket
+	// refused are runners that the admission service did not approve, askedAt when it was
+	// last asked.
+	refused     map[string]bool
+	askedAt     time.Duration
 	preemptedAt time.Duration
 	base        base
 }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -43,7 +43,7 @@
 func (e *Engine) seats(now time.Duration) []*seat {
 	var seats []*seat
 	for _, w := range e.sortedWorkers() {
-		if !w.usable(now) || now < w.fullUntil || !w.health.admits(now, len(w.runs)) {
+		if !w.usable(now) || now < w.fullUntil || e.emptied[w.info.GetId()] || !w.health.admits(now, len(w.runs)) {
 			continue
 		}
 		s := &seat{worker: w, free: w.free(), idle: w.idle(), serving: w.serving(), rack: w.rack()}
@@ -213,17 +213,17 @@
 
 // allowed reports whether a task of a step is to run on a seat.
 func (e *Engine) allowed(s *step, p *seat, now time.Duration) bool {
-	return e.placeable(s, p) && (!s.def.GetFills() || e.allowedToFill(s, p, now))
+	return e.placeable(s, p, now) && (!s.def.GetFills() || e.allowedToFill(s, p, now))
 }
 
 // placeable reports whether the rules let a task run on a seat and it has room.
-func (e *Engine) placeable(s *step, p *seat) bool {
+func (e *Engine) placeable(s *step, p *seat, now time.Duration) bool {
 	w := p.worker
 	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) || !s.need().Fits(p.free) {
 		return false
 	}
 	if s.job().queue.Advised {
-		if _, ticketed := s.tickets[w.info.GetId()]; !ticketed {
+		if t, ticketed := s.tickets[w.info.GetId()]; !ticketed || now >= t.until {
 			return false
 		}
 	}
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -15,6 +15,7 @@
 	"github.com/jasminebay/jasminebay/internal/flow/link"
 	"github.com/jasminebay/jasminebay/internal/flow/locate"
 	"github.com/jasminebay/jasminebay/internal/flow/owner"
+	"github.com/jasminebay/jasminebay/internal/flow/upkeep"
 	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/steady"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
@@ -63,8 +64,15 @@
 	Lease     time.Duration
 	Retention time.Duration
 	FarFactor float64
-	Log       *slog.Logger
-	Metrics   *telemetry.Flow
+	// Adviser is nil if the deployment has no admission service.
+	Adviser driver.Adviser
+	// VMs and Waves are nil if the deployment has no maintenance; Maintenance is how long a
+	// VM is down for it.
+	VMs         driver.VMs
+	Waves       driver.Waves
+	Maintenance time.Duration
+	Log         *slog.Logger
+	Metrics     *telemetry.Flow
 }
 
 // Node finds or becomes the owner of the cell and passes calls to it; it is safe for
@@ -313,11 +321,22 @@
 	n.runOwner(ownContext, ledger)
 }
 
+// keep carries out maintenance while this process owns the cell.
+func (n *Node) keep(ctx context.Context, own *owner.Owner) {
+	if n.options.VMs == nil || n.options.Waves == nil {
+		return
+	}
+	upkeep.New(upkeep.Options{
+		Cell: own, VMs: n.options.VMs, Waves: n.options.Waves, Clock: n.options.Clock, Holder: n.options.Identity.Node,
+		Token: own.Epoch(), Each: n.options.Maintenance, Log: n.options.Log,
+	}).Run(ctx)
+}
+
 // runOwner runs the owner of a cell that has been taken.
 func (n *Node) runOwner(ctx context.Context, ledger *owner.Ledger) {
 	o := owner.Options{
 		Cell: n.options.Cell, Ledger: ledger, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease,
-		Retention: n.options.Retention, FarFactor: n.options.FarFactor, Log: n.options.Log, Metrics: n.options.Metrics,
+		Retention: n.options.Retention, FarFactor: n.options.FarFactor, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
 	}
 	own, err := owner.New(ctx, o, n.queues())
 	if err != nil {
@@ -328,9 +347,11 @@
 	n.options.Metrics.Owning(true)
 	guard, stop := context.WithCancel(ctx)
 	watch := loop.Go(guard, func(ctx context.Context) { n.watchOwner(ctx, own) })
+	keep := loop.Go(guard, func(ctx context.Context) { n.keep(ctx, own) })
 	err = own.Run(ctx)
 	stop()
 	<-watch
+	<-keep
 	n.setOwner(nil)
 	n.options.Metrics.Owning(false)
 	if err != nil && !errors.Is(err, owner.ErrDeposed) {
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -27,6 +27,10 @@
 	// releaseTimeout bounds how long a leaving owner tries to give up its cell.
 	releaseTimeout = time.Second
 	loadRetry      = 100 * time.Millisecond
+	// adviceCalls is how many questions to the admission service may wait there; it refuses
+	// from 32 on, and adviceTimeout bounds one.
+	adviceCalls   = 16
+	adviceTimeout = 3 * time.Second
 	// learnedInterval is how often what was learned is stored for the next owner.
 	learnedInterval = 2 * time.Second
 )
@@ -41,8 +45,10 @@
 	Lease     time.Duration
 	Retention time.Duration
 	FarFactor float64
-	Log       *slog.Logger
-	Metrics   *telemetry.Flow
+	// Adviser is nil if the deployment has no admission service.
+	Adviser driver.Adviser
+	Log     *slog.Logger
+	Metrics *telemetry.Flow
 }
 
 // Owner runs the engine of a cell; it is safe for concurrent use.
@@ -75,8 +81,10 @@
 	committing bool
 	touched    time.Duration
 	learnedAt  time.Duration
-	stopped    bool
-	retired    bool
+	// asking counts questions to the admission service that have no answer yet.
+	asking  int
+	stopped bool
+	retired bool
 }
 
 // New loads a cell that has been taken. Run must be called next.
@@ -276,11 +284,40 @@
 		w.engine.SetStoreFailing(true)
 	}
 	w.engine.Tick(w.now())
+	w.askAdvice()
 	stats := w.engine.Stats()
 	w.options.Metrics.Observe(stats.Open, stats.Runs, stats.Synced)
 	w.step()
 }
 
+// askAdvice asks the admission service, which takes one call of ours at a time.
+func (w *Owner) askAdvice() {
+	if w.options.Adviser == nil || w.c.asking > 0 {
+		return
+	}
+	for _, q := range w.engine.Questions(w.now()) {
+		if w.c.asking >= adviceCalls {
+			return
+		}
+		w.c.asking++
+		asked := w.now()
+		go func() {
+			ctx, cancel := context.WithTimeout(w.trying, adviceTimeout)
+			approvals, valid, err := w.options.Adviser.Advise(ctx, q.Step, q.Runners)
+			cancel()
+			w.loop.Post(func() {
+				w.c.asking--
+				if err != nil {
+					w.options.Log.Warn("no advice", "step", q.Step, "error", err.Error())
+				} else {
+					w.engine.Advised(q, approvals, valid, asked)
+				}
+				w.step()
+			})
+		}()
+	}
+}
+
 // Configure sets the queues that are in force.
 func (w *Owner) Configure(queues map[string]engine.Queue) {
 	w.loop.Post(func() {
@@ -316,6 +353,20 @@
 	}
 }
 
+// Occupation returns how many tasks run on a runner, and how many may not be moved off now.
+func (w *Owner) Occupation(runner string) (runs, held int) {
+	_ = w.loop.Do(func() { runs, held = w.engine.Occupation(runner) })
+	return runs, held
+}
+
+// Empty has tasks moved off runners, and no new ones placed there.
+func (w *Owner) Empty(runners []string) {
+	w.loop.Post(func() {
+		w.engine.Empty(runners)
+		w.step()
+	})
+}
+
 // ServeAgent carries an agent's session until it ends.
 func (w *Owner) ServeAgent(l *link.Link) {
 	node := l.Hello.GetNode()
