--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -148,8 +148,32 @@
 // SetGrantUntil sets until when, on the steady clock, no other owner can exist.
 func (e *Engine) SetGrantUntil(until time.Duration) { e.grantUntil = max(e.grantUntil, until) }
 
-// SetStoreFailing tells whether commits get through; new jobs are refused while they don't.
-func (e *Engine) SetStoreFailing(failing bool) { e.storeFailing = failing }
+// SetStoreFailing tells that commits don't get through. Jobs that no commit holds yet are
+// refused, and so are new ones.
+func (e *Engine) SetStoreFailing() {
+	if e.storeFailing {
+		return
+	}
+	e.storeFailing = true
+	kept := e.dirty[:0]
+	for _, j := range e.dirty {
+		if j.durable || j.taken {
+			kept = append(kept, j)
+			continue
+		}
+		e.options.Log.Info("job refused", "job", j.id(), "queue", j.queue.Name, "reason", "the store does not take writes")
+		for _, call := range append(j.replies, j.cancels...) {
+			e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_UNAVAILABLE, RetryAfter: retryLeast})
+		}
+		j.live(func(r *run) { delete(r.worker.runs, r.id()) })
+		delete(e.jobs, j.id())
+		delete(e.open, j.id())
+	}
+	e.dirty = kept
+}
+
+// SetStoreWell tells that commits get through.
+func (e *Engine) SetStoreWell() { e.storeFailing = false }
 
 func (e *Engine) worker(node string) *worker {
 	w := e.workers[node]
@@ -186,7 +210,7 @@
 		}
 		b.changes = append(b.changes, c)
 		b.shown = append(b.shown, shown{job: j, outcome: j.outcome, replies: append(j.replies, j.cancels...)})
-		j.dirty, j.replies, j.cancels = false, nil, nil
+		j.dirty, j.taken, j.replies, j.cancels = false, true, nil, nil
 		j.live(func(r *run) {
 			if r.phase == phasePlanned && !r.stored {
 				r.stored = true
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -51,7 +51,9 @@
 	shown     flowpb.Outcome
 	endedUnix int64
 	// durable tells that the store holds the job.
-	durable     bool
+	durable bool
+	// taken tells that a commit holds the job, or did.
+	taken       bool
 	begun       bool
 	occurrences []*occurrence
 	// doneBefore counts occurrences that are done and dropped from the front.
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -23,7 +23,7 @@
 	// extends the time for which it may grant leases.
 	touchInterval = 400 * time.Millisecond
 	// storeFailingAfter is how long a commit may hang before new jobs are refused.
-	storeFailingAfter = 800 * time.Millisecond
+	storeFailingAfter = 600 * time.Millisecond
 	// releaseTimeout bounds how long a leaving owner tries to give up its cell.
 	releaseTimeout = time.Second
 	loadRetry      = 100 * time.Millisecond
@@ -229,7 +229,7 @@
 		w.c.committing = false
 		w.c.touched = w.options.Clock()
 		w.engine.SetGrantUntil(confirmed + w.options.Lease)
-		w.engine.SetStoreFailing(false)
+		w.engine.SetStoreWell()
 		if b != nil {
 			w.engine.Committed(b, w.now())
 		}
@@ -281,7 +281,7 @@
 		return
 	}
 	if w.StoreSilence() > storeFailingAfter {
-		w.engine.SetStoreFailing(true)
+		w.engine.SetStoreFailing()
 	}
 	w.engine.Tick(w.now())
 	w.askAdvice()
