--- a/internal/flow/engine/job.go
+++ b/internal/flow/engine/job.go
@@ -114,15 +114,6 @@
 	}
 }
 
-func (j *job) occurrence(number int) *occurrence {
-	for _, o := range j.occurrences {
-		if o.number == number {
-			return o
-		}
-	}
-	return nil
-}
-
 // progress encodes what must survive of the job.
 func (j *job) progress() *flowpb.Progress {
 	p := &flowpb.Progress{Outcome: j.outcome, EndedUnixMillis: j.endedUnix, Begun: j.begun}
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -1,9 +1,7 @@
 package engine
 
 import (
-	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
@@ -208,18 +206,3 @@
 }
 
 func (r *run) id() driver.RunID { return driver.RunID{Task: r.task.name(), Run: r.number} }
-
-// parseTask splits a task's name into its parts.
-func parseTask(name string) (id string, occurrence, stepNumber, index int, err error) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
-		return "", 0, 0, 0, fmt.Errorf("engine: task name %q", name)
-	}
-	numbers := [3]int{}
-	for i := range numbers {
-		if numbers[i], err = strconv.Atoi(parts[i+1]); err != nil {
-			return "", 0, 0, 0, fmt.Errorf("engine: task name %q: %w", name, err)
-		}
-	}
-	return parts[0], numbers[0], numbers[1], numbers[2], nil
-}
--- a/internal/flow/engine/order.go
+++ b/internal/flow/engine/order.go
@@ -34,7 +34,7 @@
 }
 
 // Order sorts claims by who is to be placed first: lasting tasks, which earn from the
-// moment they run; then by priority; then jobs whose objective is in reach before those
+// moment they run; what brings in nothing any more comes last; then by priority; then jobs whose objective is in reach before those
 // that are late, so that under overload the late don't drag the others with them; then jobs
 // that have begun; and among equals the one with the least work left, which brings in most
 // for each processor.
@@ -42,6 +42,7 @@
 	slices.SortFunc(claims, func(a, b Claim) int {
 		return cmp.Or(
 			compareTrueFirst(a.Lasting, b.Lasting),
+			compareTrueFirst(a.Prospect != ProspectNone, b.Prospect != ProspectNone),
 			cmp.Compare(a.Priority, b.Priority),
 			cmp.Compare(a.Prospect, b.Prospect),
 			compareTrueFirst(a.Begun, b.Begun),
@@ -89,6 +90,16 @@
 	return false
 }
 
+// waiting counts the tasks of the step that wait.
+func (s *step) waiting(now time.Duration) (n int) {
+	for _, t := range s.tasks {
+		if t.waits(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *Engine) claim(s *step, now time.Duration) Claim {
 	j, o := s.job(), s.occurrence
 	c := Claim{step: s, Name: s.name(), Priority: j.queue.Priority, Lasting: s.def.GetLasting(), Begun: j.begun}
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,6 +40,8 @@
 	Image string
 	// Base is its headroom without tasks that fill.
 	Base float64
+	// Ahead is what Base is expected to be in the next seconds.
+	Ahead float64
 	// Headroom is what was last measured, 0 if nothing was.
 	Headroom float64
 }
@@ -83,7 +86,7 @@
 		for k, s := range served {
 			left[k] -= harm(s.Image, f.Image) * f.Processors * share
 		}
-		paces[i] = int(share * paceFull)
+		paces[i] = int(math.Round(share * paceFull))
 	}
 	return paces
 }
@@ -162,9 +165,9 @@
 		if !r.task.step.serves() || r.phase == phaseStopping {
 			continue
 		}
-		s := Served{Image: r.task.step.def.GetImage(), Base: baseFirst}
+		s := Served{Image: r.task.step.def.GetImage(), Base: baseFirst, Ahead: baseFirst}
 		if b := r.task.step.base; b.variance > 0 {
-			s.Base = b.value
+			s.Base, s.Ahead = b.value, b.ahead()
 		}
 		if r.atWork() {
 			s.Headroom = float64(r.task.step.def.GetTargetMillis()) / float64(max(r.gauge, 1))
@@ -257,6 +260,9 @@
 	if len(served) == 0 {
 		return paceFull
 	}
+	for i := range served {
+		served[i].Base = served[i].Ahead
+	}
 	fillings := append(w.fillings(), Filling{Image: s.def.GetImage(), Processors: float64(s.def.GetMilliCpu()) / 1000})
 	paces := Paces(served, fillings, e.harm)
 	return paces[len(paces)-1]
--- a/internal/flow/engine/pairs.go
+++ b/internal/flow/engine/pairs.go
@@ -26,6 +26,10 @@
 	// baseLeast and baseMost bound the base: what is beyond is put down to what fills.
 	baseLeast = 1.15
 	baseMost  = 6.0
+	// aheadShare is how much of a base above its low is counted on for a new task, which lasts
+	// for seconds; lowRise is how fast a low is forgotten, in a second.
+	aheadShare = 0.4
+	lowRise    = 0.08
 	// readingShare is the relative error of a reading of a tail, readingMillis what
 	// rounding to whole milliseconds adds.
 	readingShare  = 0.08
@@ -44,8 +48,13 @@
 type base struct {
 	estimate
 	at time.Duration
+	// low is what it fell to lately; it is forgotten slowly.
+	low float64
 }
 
+// ahead returns what the base is expected to be while a new task runs.
+func (b *base) ahead() float64 { return b.low + aheadShare*(b.value-b.low) }
+
 // pairs is what is known of the pairs of images.
 type pairs map[pair]*estimate
 
@@ -72,11 +81,13 @@
 // filling images, and improves the estimate of the base.
 func (m pairs) learn(b *base, now time.Duration, serving string, tail, target float64, processors map[string]float64) {
 	if b.variance == 0 {
-		*b = base{estimate{baseFirst, baseFirstDeviation * baseFirstDeviation}, now}
+		*b = base{estimate: estimate{baseFirst, baseFirstDeviation * baseFirstDeviation}, at: now, low: baseFirst}
 	}
 	headroom := target / tail
 	deviation := headroom * (readingShare + readingMillis/tail)
-	b.variance += baseDrift * (now - b.at).Seconds()
+	passed := (now - b.at).Seconds()
+	b.variance += baseDrift * passed
+	b.low += lowRise * passed
 	b.at = now
 	predicted := b.value
 	total := b.variance + deviation*deviation
@@ -94,6 +105,7 @@
 		e.value = max(0, e.value)
 	}
 	b.value = min(max(baseLeast, b.value), baseMost)
+	b.low = min(b.low, b.value)
 }
 
 func (e *estimate) correct(slope, total, surprise float64) {
--- a/internal/flow/engine/rate.go
+++ b/internal/flow/engine/rate.go
@@ -13,6 +13,9 @@
 	// rateLeast is the least rate, as a share of what tasks that last leave, so that refusing
 	// work can't lower the rate which has it refused.
 	rateLeast = 0.4
+	// rateBacklog is how much must wait, as a share of what is at work, for the runners to be
+	// taken to do all that they can.
+	rateBacklog = 0.3
 	// rateMost bounds the rate where nothing was ever held back.
 	rateMost = 1e12
 )
@@ -51,7 +54,13 @@
 			}
 		}
 	}
-	backlog := len(e.claims(now)) > 0
+	waiting := 0.0
+	for _, c := range e.claims(now) {
+		if c.step.def.GetFills() {
+			waiting += float64(c.step.waiting(now)) * float64(c.step.def.GetMilliCpu())
+		}
+	}
+	backlog := waiting > rateBacklog*atWork
 	if e.rate > 0 || backlog {
 		e.rate = max(e.rate.next(atWork, backlog), rate(rateLeast*left))
 	}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -84,7 +84,6 @@
 	// asking counts questions to the admission service that have no answer yet.
 	asking  int
 	stopped bool
-	retired bool
 }
 
 // New loads a cell that has been taken. Run must be called next.
