Accept, read and cancel jobs by the store while no owner is reached

Change: after 0.12 s an entry writes the job, or its cancelling, to the inbox of the cell under the condition that the store holds neither, and answers once that is durable; reads answer from the stored progress. The owner follows the inbox by a watch, takes items in with the commit that deletes them, and finds them when it loads the cell. The same job handed in both ways stays one.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -85,14 +85,49 @@
 			return
 		}
 	}
-	if def.GetOccurrences() == 0 {
+	e.add(j, first, now)
+	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.longestChain(), "open", len(e.open))
+}
+
+// add takes in a job that begins now, or at the time that it names.
+func (e *Engine) add(j *job, first *occurrence, now Moment) {
+	if j.def.GetOccurrences() == 0 {
 		first.advance(now.Steady)
 		j.occurrences = append(j.occurrences, first)
 		j.next = 1
 	}
 	e.jobs[j.id()], e.open[j.id()] = j, j
 	e.mark(j)
-	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.longestChain(), "open", len(e.open))
+}
+
+// Hand takes in an item of the cell's inbox, which is durable: an entry that did not reach
+// the owner has accepted a job, or its cancelling.
+func (e *Engine) Hand(name string, h *flowpb.Handed, now Moment) {
+	def := h.GetJob()
+	if def == nil {
+		j := e.jobs[h.GetCancel()]
+		if j == nil {
+			e.stale = append(e.stale, name)
+			return
+		}
+		e.options.Log.Info("cancel taken from the inbox", "job", j.id())
+		e.close(j, flowpb.Outcome_OUTCOME_CANCELLED, now, "cancelled by the client")
+		j.handed = append(j.handed, name)
+		e.mark(j)
+		return
+	}
+	if err := Check(def); err != nil || e.jobs[def.GetId()] != nil {
+		// It came in twice, or no entry of ours wrote it.
+		e.stale = append(e.stale, name)
+		return
+	}
+	if def.GetTerms() == nil {
+		def.Terms = &flowpb.Terms{}
+	}
+	j := &job{def: def, queue: queueOf(def.GetQueue(), def.GetTerms()), handed: []string{name}}
+	j.arrived = now.Steady - time.Duration(max(0, now.Unix-def.GetAcceptedUnixMillis()))*time.Millisecond
+	e.options.Log.Info("job taken from the inbox", "job", j.id(), "queue", def.GetQueue(), "age-ms", (now.Steady - j.arrived).Milliseconds())
+	e.add(j, newOccurrence(j, 0, now.Steady), now)
 }
 
 // settled reports whether the engine has had the time to hear from the runners.
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -44,7 +44,9 @@
 	tokens  uint64
 	dirty   []*job
 	deleted []string
-	out     Effects
+	// stale are items of the inbox that change nothing.
+	stale []string
+	out   Effects
 	// grantUntil bounds all leases: until then nobody else can own the cell.
 	grantUntil time.Duration
 	// storeFailing tells that commits do not get through.
@@ -193,7 +195,7 @@
 }
 
 // Dirty reports whether there is anything to store.
-func (e *Engine) Dirty() bool { return len(e.dirty) > 0 || len(e.deleted) > 0 }
+func (e *Engine) Dirty() bool { return len(e.dirty) > 0 || len(e.deleted) > 0 || len(e.stale) > 0 }
 
 // Take returns what has to be stored now, at most limit jobs, or nil.
 func (e *Engine) Take(limit int) *Batch {
@@ -204,7 +206,8 @@
 	e.inFlight++
 	taken := e.dirty[:min(limit, len(e.dirty))]
 	for _, j := range taken {
-		c := Change{ID: j.id(), Progress: j.progress()}
+		c := Change{ID: j.id(), Progress: j.progress(), Taken: j.handed}
+		j.handed = nil
 		if !j.durable {
 			c.Job = j.def
 		}
@@ -221,9 +224,14 @@
 	e.dirty = slices.Clone(e.dirty[len(taken):])
 	room := min(limit-len(taken), len(e.deleted))
 	for _, id := range e.deleted[:room] {
-		b.changes = append(b.changes, Change{ID: id})
+		b.changes = append(b.changes, Change{ID: id, Forget: true})
 	}
 	e.deleted = slices.Clone(e.deleted[room:])
+	room = min(limit-len(b.changes), len(e.stale))
+	for _, name := range e.stale[:room] {
+		b.changes = append(b.changes, Change{Taken: []string{name}})
+	}
+	e.stale = slices.Clone(e.stale[room:])
 	if len(e.dirty) == 0 {
 		// Every end that was taken so far is in this batch or an earlier one.
 		for _, w := range e.workers {
@@ -300,8 +308,11 @@
 }
 
 // state returns what the job's reader sees.
-func (j *job) state() string {
-	switch j.shown {
+func (j *job) state() string { return StateOf(j.shown, j.begun) }
+
+// StateOf returns what the reader of a job sees of a durable outcome.
+func StateOf(outcome flowpb.Outcome, begun bool) string {
+	switch outcome {
 	case flowpb.Outcome_OUTCOME_COMPLETED:
 		return "completed"
 	case flowpb.Outcome_OUTCOME_FAILED:
@@ -309,7 +320,7 @@
 	case flowpb.Outcome_OUTCOME_CANCELLED:
 		return "cancelled"
 	}
-	if j.begun {
+	if begun {
 		return "running"
 	}
 	return "queued"
--- a/internal/flow/engine/job.go
+++ b/internal/flow/engine/job.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
@@ -192,20 +190,14 @@
 	return nil
 }
 
-// Change is what has to be stored of one job; a nil Progress deletes the job.
+// Change is what has to be stored of one job. Job is nil unless it is new, Progress unless it
+// changed.
 type Change struct {
 	ID       string
 	Job      *flowpb.Job
 	Progress *flowpb.Progress
-}
-
-// Encode returns the stored form of the change; job is nil unless it is new.
-func (c Change) Encode() (job, progress []byte, err error) {
-	if c.Job != nil {
-		if job, err = proto.Marshal(c.Job); err != nil {
-			return nil, nil, err
-		}
-	}
-	progress, err = proto.Marshal(c.Progress)
-	return job, progress, err
+	// Forget deletes the job.
+	Forget bool
+	// Taken are items of the cell's inbox that this change takes care of.
+	Taken []string
 }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -60,6 +60,8 @@
 	dirty   bool
 	replies []uint64
 	cancels []uint64
+	// handed are items of the cell's inbox that the next commit takes care of.
+	handed []string
 }
 
 func (j *job) id() string { return j.def.GetId() }
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -259,7 +259,7 @@
 			return
 		}
 		for _, c := range b.Changes() {
-			if c.Progress == nil {
+			if c.Forget {
 				delete(w.jobs, c.ID)
 				delete(w.stored, c.ID)
 				continue
--- a/internal/flow/entry/call.go
+++ b/internal/flow/entry/call.go
@@ -5,7 +5,10 @@
 	"errors"
 	"time"
 
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/flow/engine"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/owner"
 )
 
 // Errors of a call.
@@ -18,9 +21,13 @@
 	ErrNoDocument = errors.New("entry: no configuration yet")
 )
 
-// ownerWait is how long a call waits for an owner when there is none; a takeover takes
-// about as long.
-const ownerWait = 900 * time.Millisecond
+const (
+	// ownerWait is how long a call waits for an owner when there is none; a takeover takes
+	// about as long.
+	ownerWait = 900 * time.Millisecond
+	// inboxAfter is how long a call waits for an owner before the store is used instead.
+	inboxAfter = 120 * time.Millisecond
+)
 
 // Match returns the route of a host and a path; ErrNoDocument tells that this entry can't
 // know yet.
@@ -43,7 +50,7 @@
 // Call passes a call to the owner of the cell. It is tried again at a new owner if one
 // takes over: all calls are idempotent by the job's id.
 func (n *Node) Call(ctx context.Context, call *flowpb.Call) (r *flowpb.Reply, err error) {
-	sent := false
+	sent, tried := false, false
 	waited := time.Now()
 	for {
 		n.mu.Lock()
@@ -56,6 +63,10 @@
 		case c != nil:
 			sent = true
 			r, err = c.call(ctx, call)
+		case time.Since(waited) > inboxAfter && !tried && call.GetCount() == "":
+			tried = true
+			r, err = n.byStore(ctx, call)
+			sent = sent || errors.Is(err, driver.ErrAmbiguous)
 		default:
 			err = errCut
 		}
@@ -68,7 +79,7 @@
 		if ctx.Err() != nil || time.Since(waited) > ownerWait {
 			break
 		}
-		n.waitChange(ctx, changed, redialPause)
+		n.waitChange(ctx, changed, inboxAfter)
 	}
 	if sent {
 		return nil, ErrUnknown
@@ -76,6 +87,38 @@
 	return nil, ErrNotRun
 }
 
+// byStore serves a call without the owner: what it accepts lies in the cell's inbox.
+func (n *Node) byStore(ctx context.Context, call *flowpb.Call) (r *flowpb.Reply, err error) {
+	store, cell := n.options.Store, n.options.Cell
+	ok := &flowpb.Reply{Status: flowpb.Status_STATUS_OK}
+	if def := call.GetSubmit(); def != nil {
+		if err := engine.Check(def); err != nil {
+			return &flowpb.Reply{Status: flowpb.Status_STATUS_INVALID, Detail: err.Error()}, nil
+		}
+		if err = owner.HandIn(ctx, store, cell, def); err != nil {
+			return nil, err
+		}
+		n.options.Log.Info("job accepted by the inbox", "job", def.GetId(), "queue", def.GetQueue())
+		return ok, nil
+	}
+	id := call.GetRead() + call.GetCancel()
+	p, err := owner.ReadStored(ctx, store, cell, id)
+	switch {
+	case errors.Is(err, driver.ErrNotFound):
+		return &flowpb.Reply{Status: flowpb.Status_STATUS_NOT_FOUND}, nil
+	case err != nil:
+		return nil, err
+	case call.GetCancel() != "" && p.GetOutcome() == flowpb.Outcome_OUTCOME_OPEN:
+		if err = owner.HandCancel(ctx, store, cell, id); err != nil {
+			return nil, err
+		}
+		n.options.Log.Info("cancel accepted by the inbox", "job", id)
+		return ok, nil
+	}
+	ok.State = engine.StateOf(p.GetOutcome(), p.GetBegun())
+	return ok, nil
+}
+
 func callOwn(ctx context.Context, own func(*flowpb.Call, func(*flowpb.Reply)), call *flowpb.Call) (*flowpb.Reply, error) {
 	answer := make(chan *flowpb.Reply, 1)
 	own(call, func(r *flowpb.Reply) { answer <- r })
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -62,6 +62,8 @@
 	// storeSilent is when the commit under way began, on the steady clock, or 0.
 	storeSilent atomic.Int64
 	agents      atomic.Int64
+	// inboxFrom is the store's revision from which the inbox is to be followed.
+	inboxFrom uint64
 	// trying ends when the store is given up on.
 	trying  context.Context
 	abandon context.CancelFunc
@@ -114,6 +116,10 @@
 			o.Log.Error("job can't be restored and is passed over", "job", id, "error", err.Error())
 		}
 	}
+	for name, h := range stored.Inbox {
+		w.engine.Hand(name, h, w.now())
+	}
+	w.inboxFrom = stored.Revision
 	w.engine.Configure(queues)
 	stats := w.engine.Stats()
 	o.Log.Info("cell loaded", "cell", o.Cell, "epoch", o.Ledger.Epoch(), "jobs", stats.Jobs, "open", stats.Open, "runs", stats.Runs, "took-ms", (o.Clock() - began).Milliseconds())
@@ -150,6 +156,7 @@
 	defer w.abandon()
 	loopEnd := loop.Go(work, w.loop.Run)
 	tickEnd := loop.Every(work, tickInterval, func() { w.loop.Post(w.tick) })
+	inboxEnd := loop.Go(work, w.followInbox)
 	w.loop.Post(w.tick)
 	err = w.commitLoop(ctx)
 	_ = w.loop.Do(w.retire)
@@ -160,6 +167,7 @@
 	}
 	stop()
 	<-tickEnd
+	<-inboxEnd
 	<-loopEnd
 	w.options.Log.Info("cell given up", "cell", w.options.Cell, "epoch", w.Epoch(), "error", errorText(err))
 	return err
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -24,12 +24,13 @@
 	prefixJob      = "/job/"
 	prefixProgress = "/run/"
 	keyLearned     = "/learned"
+	prefixInbox    = "/inbox/"
 )
 
 const (
-	// CommitJobs is how many jobs one commit may hold: each takes up to two of the entries
+	// CommitJobs is how many jobs one commit may hold: each takes up to three of the entries
 	// of a transaction, the head takes two, and what was learned one.
-	CommitJobs = (driver.TxnMaxEntries - 3) / 2
+	CommitJobs = (driver.TxnMaxEntries - 3) / 3
 	// commitTimeout is how long one attempt may take; a slow store answers in 0.4 s.
 	commitTimeout = time.Second
 	commitRetry   = 60 * time.Millisecond
@@ -110,22 +111,31 @@
 	Jobs     map[string]*flowpb.Job
 	Progress map[string]*flowpb.Progress
 	Learned  *flowpb.Learned
+	Inbox    map[string]*flowpb.Handed
+	// Revision is the store's, from which changes of the inbox are to be followed.
+	Revision uint64
 }
 
 // Load reads the durable state of the cell.
 func (l *Ledger) Load(ctx context.Context) (s *Stored, err error) {
 	defer errs.Annotate(&err, "owner: load cell %s", l.cell)
-	items, _, err := l.store.List(ctx, l.cell+"/")
+	items, revision, err := l.store.List(ctx, l.cell+"/")
 	if err != nil {
 		return nil, err
 	}
-	s = &Stored{Jobs: map[string]*flowpb.Job{}, Progress: map[string]*flowpb.Progress{}, Learned: &flowpb.Learned{}}
+	s = &Stored{Revision: revision, Inbox: map[string]*flowpb.Handed{}, Jobs: map[string]*flowpb.Job{}, Progress: map[string]*flowpb.Progress{}, Learned: &flowpb.Learned{}}
 	for _, item := range items {
 		switch rest := strings.TrimPrefix(item.Key(), l.cell); {
 		case rest == keyLearned:
 			if err = proto.Unmarshal(item.Value(), s.Learned); err != nil {
 				return nil, fmt.Errorf("%s: %w", item.Key(), err)
 			}
+		case strings.HasPrefix(rest, prefixInbox):
+			h := &flowpb.Handed{}
+			if err = proto.Unmarshal(item.Value(), h); err != nil {
+				return nil, fmt.Errorf("%s: %w", item.Key(), err)
+			}
+			s.Inbox[strings.TrimPrefix(rest, prefixInbox)] = h
 		case strings.HasPrefix(rest, prefixJob):
 			j := &flowpb.Job{}
 			if err = proto.Unmarshal(item.Value(), j); err != nil {
@@ -152,14 +162,18 @@
 	}
 	var deletes []string
 	for _, c := range changes {
-		if c.Progress == nil {
+		if c.Forget {
 			deletes = append(deletes, l.cell+prefixJob+c.ID, l.cell+prefixProgress+c.ID)
-			continue
 		}
 		if c.Job != nil {
 			puts = append(puts, driver.Put{Key: l.cell + prefixJob + c.ID, Value: marshal(c.Job)})
 		}
-		puts = append(puts, driver.Put{Key: l.cell + prefixProgress + c.ID, Value: marshal(c.Progress)})
+		if c.Progress != nil {
+			puts = append(puts, driver.Put{Key: l.cell + prefixProgress + c.ID, Value: marshal(c.Progress)})
+		}
+		for _, name := range c.Taken {
+			deletes = append(deletes, l.cell+prefixInbox+name)
+		}
 	}
 	return l.commit(ctx, puts, deletes)
 }
