--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -16,7 +16,7 @@
 const (
 	paceInterval = 500 * time.Millisecond
 	// paceHeadroom is the headroom that tasks which serve are left with.
-	paceHeadroom = 1.3
+	paceHeadroom = 1.15
 	// paceOver is the headroom at which all that disturb are stopped, paceFar that at which
 	// even those are that are taken to disturb nobody.
 	paceOver = 1.06
--- a/internal/flow/engine/pairs.go
+++ b/internal/flow/engine/pairs.go
@@ -35,7 +35,7 @@
 	readingShare  = 0.08
 	readingMillis = 0.4
 	// pairCaution is how many deviations are added to what a pair is expected to do.
-	pairCaution = 0.7
+	pairCaution = 0.3
 )
 
 // pair is a serving and a filling image.
