--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -110,9 +110,14 @@
 		return usageError{fmt.Errorf("--log-level: %w", err)}
 	}
 	debug.SetMemoryLimit(platformMemoryLimit)
-	log, flush := logger(level)
-	defer flush()
-	return c.run(c.ctx, log)
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	ctx, stop := context.WithCancel(context.Background())
+	flushed := out.Run(ctx)
+	defer func() {
+		stop()
+		<-flushed
+	}()
+	return c.run(c.ctx, telemetry.NewBoundedLogger(out, level))
 }
 
 type versionCommand struct{ streams streams }
