--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -66,6 +66,8 @@
 	// runner is what the runner says of itself; nil if there is none.
 	runner *flowpb.Runner
 	token  uint64
+	// voided is the highest token that a synchronisation has voided.
+	voided uint64
 	// confirmed tells that the runner has seen the token.
 	confirmed bool
 	sequence  uint64
@@ -119,7 +121,8 @@
 	}
 	a.options.Log.Info("owner reached", "owner", record.GetNode(), "epoch", welcome.GetEpoch())
 	a.loop.Post(func() {
-		a.c.link, a.c.token, a.c.confirmed, a.c.results = l, 0, false, nil
+		// A new owner's tokens begin anew, above those of the owner before it.
+		a.c.link, a.c.token, a.c.voided, a.c.confirmed, a.c.results = l, 0, 0, false, nil
 		a.sync(false)
 	})
 	done := make(chan struct{})
@@ -212,6 +215,7 @@
 
 // sync asks the owner for a new token; gone tells that the runner runs no more.
 func (a *Agent) sync(gone bool) {
+	a.c.voided = max(a.c.voided, a.c.token)
 	a.c.token, a.c.confirmed, a.c.results = 0, false, nil
 	if a.c.link == nil || a.c.runner == nil {
 		return
@@ -251,11 +255,16 @@
 		a.doubt("the owner asks")
 		return
 	}
+	if o.GetRunner() != a.c.runner.GetId() || o.GetBorn() != a.c.runner.GetBorn() {
+		a.options.Log.Info("orders for another life passed over", "runner", o.GetRunner(), "born", o.GetBorn(), "current", a.c.runner.GetBorn())
+		return
+	}
 	if o.GetToken() != a.c.token {
-		if o.GetToken() < a.c.token {
+		if o.GetToken() <= a.c.voided {
 			a.options.Log.Info("orders under an old token passed over", "token", o.GetToken(), "current", a.c.token)
 			return
 		}
+		a.c.voided = max(a.c.voided, a.c.token)
 		a.c.token, a.c.confirmed, a.c.results = o.GetToken(), false, nil
 	}
 	if o.GetGrantMillis() > 0 && o.GetReport() > 0 && a.c.sequence-o.GetReport() < sentReports {
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -294,7 +294,7 @@
 		o = &flowpb.Orders{}
 		e.out.Orders[w.node] = o
 	}
-	o.Token, o.Settled = w.token, w.settled
+	o.Token, o.Settled, o.Runner, o.Born = w.token, w.settled, w.info.GetId(), w.info.GetBorn()
 	return o
 }
 
