Keep jobs that the inbox holds when commits hang, and cancels behind their jobs

Found by reading: a job that was taken from the inbox, or handed in both ways, was dropped with those that no commit holds when the store failed, although an entry had accepted it; and a new owner took in items of the inbox in any order, so that a cancel could be passed over before its job was known.

engine/store-fails fails without the first two; the order of cancels has no test of its own.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -116,7 +116,12 @@
 		e.mark(j)
 		return
 	}
-	if err := Check(def); err != nil || e.jobs[def.GetId()] != nil {
+	if known := e.jobs[def.GetId()]; known != nil && !known.durable {
+		// It was handed in to the owner as well; the item keeps it until a commit holds it.
+		known.handed = append(known.handed, name)
+		e.mark(known)
+		return
+	} else if Check(def) != nil || known != nil {
 		// It came in twice, or no entry of ours wrote it.
 		e.stale = append(e.stale, name)
 		return
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -150,7 +150,7 @@
 // SetGrantUntil sets until when, on the steady clock, no other owner can exist.
 func (e *Engine) SetGrantUntil(until time.Duration) { e.grantUntil = max(e.grantUntil, until) }
 
-// SetStoreFailing tells that commits don't get through. Jobs that no commit holds yet are
+// SetStoreFailing tells that commits don't get through. Jobs that nothing durable holds yet are
 // refused, and so are new ones.
 func (e *Engine) SetStoreFailing() {
 	if e.storeFailing {
@@ -159,7 +159,7 @@
 	e.storeFailing = true
 	kept := e.dirty[:0]
 	for _, j := range e.dirty {
-		if j.durable || j.taken {
+		if j.durable || j.taken || len(j.handed) > 0 {
 			kept = append(kept, j)
 			continue
 		}
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -90,6 +90,18 @@
 		w.addRunner(d, name)
 	case "submit":
 		w.submit(d)
+	case "hand":
+		w.engine.Hand(id, &flowpb.Handed{Job: &flowpb.Job{Id: id, Queue: testQueue.Name, Terms: testQueue.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}}, w.now)
+	case "accept":
+		// The reply comes with the commit, which a script leaves out to have the store fail.
+		w.call++
+		w.engine.Submit(w.call, &flowpb.Job{Id: id, Queue: testQueue.Name, Terms: testQueue.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}, w.now)
+	case "store-fails":
+		w.engine.SetStoreFailing()
+		w.effects()
+	case "store-returns":
+		w.engine.SetStoreWell()
+		w.settle()
 	case "cancel":
 		w.call++
 		w.engine.Cancel(w.call, id, w.now)
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -116,8 +116,13 @@
 			o.Log.Error("job can't be restored and is passed over", "job", id, "error", err.Error())
 		}
 	}
-	for name, h := range stored.Inbox {
-		w.engine.Hand(name, h, w.now())
+	for _, cancels := range []bool{false, true} {
+		// A job comes before its cancelling.
+		for name, h := range stored.Inbox {
+			if (h.GetCancel() != "") == cancels {
+				w.engine.Hand(name, h, w.now())
+			}
+		}
 	}
 	w.inboxFrom = stored.Revision
 	w.engine.Configure(queues)
