--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -54,7 +54,7 @@
 	taken       bool
 	begun       bool
 	occurrences []*occurrence
-	// doneBefore counts occurrences that are done and dropped from the front.
+	// next is the number of the occurrence that begins next.
 	next    int
 	arrived time.Duration
 	dirty   bool
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -20,7 +20,6 @@
 	// idle are the processors that tasks which fill may still use, in thousandths.
 	idle    int64
 	serving bool
-	fills   int
 	rack    string
 }
 
@@ -46,13 +45,7 @@
 		if !w.usable(now) || now < w.fullUntil || e.emptied[w.info.GetId()] || !w.health.admits(now, len(w.runs)) {
 			continue
 		}
-		s := &seat{worker: w, free: w.free(), idle: w.idle(), serving: w.serving(), rack: w.rack()}
-		for _, r := range w.runs {
-			if r.task.step.def.GetFills() {
-				s.fills++
-			}
-		}
-		seats = append(seats, s)
+		seats = append(seats, &seat{worker: w, free: w.free(), idle: w.idle(), serving: w.serving(), rack: w.rack()})
 	}
 	return seats
 }
@@ -194,7 +187,6 @@
 	p.free = p.free.Minus(s.need())
 	if s.def.GetFills() {
 		p.idle -= s.def.GetMilliCpu()
-		p.fills++
 	} else {
 		p.idle -= s.need().MilliCPU()
 	}
@@ -205,7 +197,6 @@
 	p.free = p.free.Plus(s.need())
 	if s.def.GetFills() {
 		p.idle += s.def.GetMilliCpu()
-		p.fills--
 	} else {
 		p.idle += s.need().MilliCPU()
 	}
