--- a/internal/driver/txn.go
+++ b/internal/driver/txn.go
@@ -22,7 +22,6 @@
 type Put struct {
 	Key   string
 	Value []byte
-	Lease Lease
 }
 
 // Txn is a set of writes that take effect together if all conditions hold.
--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -56,8 +57,10 @@
 	loop    *loop.Loop
 	kick    chan struct{}
 	starts  chan struct{}
-	ctx     context.Context
-	c       control
+	// calls are orders to the runner that are under way.
+	calls sync.WaitGroup
+	ctx   context.Context
+	c     control
 }
 
 // control is what only the loop's goroutine touches.
@@ -102,6 +105,7 @@
 	}
 	<-holdEnd
 	<-loopEnd
+	a.calls.Wait()
 }
 
 // session keeps a session with the owner for as long as it lasts.
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -11,7 +11,7 @@
 // call runs f beside the loop until it is answered, a few times at most, and then after on
 // the loop.
 func (a *Agent) call(f func(ctx context.Context) error, after func(error)) {
-	go func() {
+	a.calls.Go(func() {
 		a.starts <- struct{}{}
 		var err error
 		for range orderTries {
@@ -24,7 +24,7 @@
 		}
 		<-a.starts
 		a.loop.Post(func() { after(err) })
-	}()
+	})
 }
 
 // start passes a start on, unless the runner is leaving or the lease is over.
--- a/internal/flow/entry/serve.go
+++ b/internal/flow/entry/serve.go
@@ -136,10 +136,10 @@
 		l.Wait()
 		return
 	}
-	if l.Hello.GetAgent() {
+	if l.Hello().GetAgent() {
 		own.ServeAgent(l)
 	} else {
-		own.ServeEntry(l, n.peerBeat(l.Hello.GetNode()))
+		own.ServeEntry(l, n.peerBeat(l.Hello().GetNode()))
 	}
 	l.Wait()
 }
--- a/internal/flow/link/link.go
+++ b/internal/flow/link/link.go
@@ -31,8 +31,7 @@
 	ended   chan struct{}
 	once    sync.Once
 	written <-chan struct{}
-	// Hello is what the dialling side said of itself.
-	Hello *flowpb.Hello
+	hello   *flowpb.Hello
 }
 
 // Dial connects to the owner at address and introduces hello.
@@ -83,7 +82,7 @@
 }
 
 func newLink(ctx context.Context, session *peer.Session, stream *peer.Stream, hello *flowpb.Hello) *Link {
-	l := &Link{session: session, stream: stream, outbox: make(chan *flowpb.Frame, outboxFrames), ended: make(chan struct{}), Hello: hello}
+	l := &Link{session: session, stream: stream, outbox: make(chan *flowpb.Frame, outboxFrames), ended: make(chan struct{}), hello: hello}
 	l.written = loop.Go(ctx, l.write)
 	return l
 }
@@ -125,6 +124,9 @@
 	return f, nil
 }
 
+// Hello returns what the dialling side said of itself.
+func (l *Link) Hello() *flowpb.Hello { return l.hello }
+
 // Ended is closed when the link has ended.
 func (l *Link) Ended() <-chan struct{} { return l.ended }
 
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,8 @@
 	// storeSilent is when the commit under way began, on the steady clock, or 0.
 	storeSilent atomic.Int64
 	agents      atomic.Int64
+	// calls are those to the admission service that are under way.
+	calls sync.WaitGroup
 	// inboxFrom is the store's revision from which the inbox is to be followed.
 	inboxFrom uint64
 	// trying ends when the store is given up on.
@@ -173,6 +176,8 @@
 	stop()
 	<-tickEnd
 	<-inboxEnd
+	w.abandon()
+	w.calls.Wait()
 	<-loopEnd
 	w.options.Log.Info("cell given up", "cell", w.options.Cell, "epoch", w.Epoch(), "error", errorText(err))
 	return err
@@ -313,7 +318,7 @@
 		}
 		w.c.asking++
 		asked := w.now()
-		go func() {
+		w.calls.Go(func() {
 			ctx, cancel := context.WithTimeout(w.trying, adviceTimeout)
 			approvals, valid, err := w.options.Adviser.Advise(ctx, q.Step, q.Runners)
 			cancel()
@@ -326,7 +331,7 @@
 				}
 				w.step()
 			})
-		}()
+		})
 	}
 }
 
@@ -378,89 +383,3 @@
 		w.step()
 	})
 }
-
-// ServeAgent carries an agent's session until it ends.
-func (w *Owner) ServeAgent(l *link.Link) {
-	node := l.Hello.GetNode()
-	err := w.loop.Do(func() {
-		if w.c.stopped {
-			l.Close()
-			return
-		}
-		if old := w.c.links[node]; old != nil {
-			old.Close()
-		}
-		w.c.links[node] = l
-		w.agents.Store(int64(len(w.c.links)))
-		w.engine.Connect(node)
-	})
-	if err != nil {
-		l.Close()
-		return
-	}
-	l.Send(link.Welcome(&flowpb.Welcome{Epoch: w.Epoch()}))
-	for {
-		f, err := l.Receive()
-		if err != nil {
-			break
-		}
-		w.loop.Post(func() { w.fromAgent(node, l, f) })
-	}
-	l.Close()
-	w.loop.Post(func() {
-		if w.c.links[node] == l {
-			delete(w.c.links, node)
-			w.agents.Store(int64(len(w.c.links)))
-			w.engine.Disconnect(node, w.now())
-		}
-	})
-}
-
-func (w *Owner) fromAgent(node string, l *link.Link, f *flowpb.Frame) {
-	if w.c.stopped || w.c.links[node] != l {
-		return
-	}
-	switch b := f.GetBody().(type) {
-	case *flowpb.Frame_Sync:
-		w.engine.Sync(node, b.Sync, w.now())
-	case *flowpb.Frame_Report:
-		w.engine.Report(node, b.Report, w.now())
-	}
-	w.step()
-}
-
-// ServeEntry carries the calls of another entry until its session ends.
-func (w *Owner) ServeEntry(l *link.Link, peer func(*flowpb.Beat) *flowpb.BeatReply) {
-	l.Send(link.Welcome(&flowpb.Welcome{Epoch: w.Epoch()}))
-	defer l.Close()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		// The entry learns that the cell was given up by the end of the session.
-		select {
-		case <-w.loop.Done():
-			l.Close()
-		case <-stop:
-		}
-	}()
-	for {
-		f, err := l.Receive()
-		if err != nil {
-			return
-		}
-		switch b := f.GetBody().(type) {
-		case *flowpb.Frame_Call:
-			id := b.Call.GetId()
-			w.Call(b.Call, func(r *flowpb.Reply) {
-				if r == nil {
-					l.Close()
-					return
-				}
-				r.Id = id
-				l.Send(link.Reply(r))
-			})
-		case *flowpb.Frame_Beat:
-			l.Send(link.BeatReply(peer(b.Beat)))
-		}
-	}
-}
