Read a job again that the owner may have taken in between two reads

Found by reading the change once more: an entry without an owner looks for a job's progress and then for its item in the inbox. Between the two the owner may take the item in, and an accepted job was answered as unknown (410). The progress is read once more before that is said.

--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -27,8 +27,6 @@
 	Lease time.Duration
 	// Retention is how long a job can be read after its end.
 	Retention time.Duration
-	// FarFactor is how many times as long a task takes away from the rack of its data.
-	FarFactor float64
 	// LateFactor is how many objectives after its arrival a job is worth nothing any more.
 	LateFactor float64
 	Log        *slog.Logger
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -63,7 +63,6 @@
 	Follower  *locate.Follower
 	Lease     time.Duration
 	Retention time.Duration
-	FarFactor float64
 	// Adviser is nil if the deployment has no admission service.
 	Adviser driver.Adviser
 	// VMs and Waves are nil if the deployment has no maintenance; Maintenance is how long a
@@ -336,7 +335,7 @@
 func (n *Node) runOwner(ctx context.Context, ledger *owner.Ledger) {
 	o := owner.Options{
 		Cell: n.options.Cell, Ledger: ledger, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease,
-		Retention: n.options.Retention, FarFactor: n.options.FarFactor, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
+		Retention: n.options.Retention, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
 	}
 	own, err := owner.New(ctx, o, n.queues())
 	if err != nil {
--- a/internal/flow/owner/inbox.go
+++ b/internal/flow/owner/inbox.go
@@ -118,8 +118,11 @@
 	p = &flowpb.Progress{}
 	item, err := store.Get(ctx, cell+prefixProgress+id)
 	if errors.Is(err, driver.ErrNotFound) {
-		_, err = store.Get(ctx, cell+prefixInbox+id)
-		return p, err
+		if _, err = store.Get(ctx, cell+prefixInbox+id); !errors.Is(err, driver.ErrNotFound) {
+			return p, err
+		}
+		// The owner may have taken it in between the two reads.
+		item, err = store.Get(ctx, cell+prefixProgress+id)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -45,7 +45,6 @@
 	// Lease is the longest time that a runner may run tasks after a report that was answered.
 	Lease     time.Duration
 	Retention time.Duration
-	FarFactor float64
 	// Adviser is nil if the deployment has no admission service.
 	Adviser driver.Adviser
 	Log     *slog.Logger
@@ -95,7 +94,7 @@
 func New(ctx context.Context, o Options, queues map[string]engine.Queue) (w *Owner, err error) {
 	w = &Owner{
 		options: o, ledger: o.Ledger, loop: loop.New(), commits: make(chan commit, 1),
-		engine: engine.New(engine.Options{Epoch: o.Ledger.Epoch(), Lease: o.Lease, Retention: o.Retention, FarFactor: o.FarFactor, LateFactor: lateFactor, Log: o.Log}),
+		engine: engine.New(engine.Options{Epoch: o.Ledger.Epoch(), Lease: o.Lease, Retention: o.Retention, LateFactor: lateFactor, Log: o.Log}),
 		c:      control{links: map[string]*link.Link{}, calls: map[uint64]func(*flowpb.Reply){}},
 	}
 	w.trying, w.abandon = context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -88,9 +88,6 @@
 // SetWriteDeadline bounds the following writes.
 func (s *Stream) SetWriteDeadline(t time.Time) { _ = s.conn.SetWriteDeadline(t) }
 
-// SetReadDeadline bounds the following reads.
-func (s *Stream) SetReadDeadline(t time.Time) { _ = s.conn.SetReadDeadline(t) }
-
 // SetDeadline bounds the following calls; the zero time removes the bound.
 func (s *Stream) SetDeadline(t time.Time) { _ = s.conn.SetDeadline(t) }
 
--- a/internal/steady/steady.go
+++ b/internal/steady/steady.go
@@ -19,9 +19,3 @@
 	}
 	return time.Duration(t.Nano())
 }
-
-// Monotonic returns a clock over the runtime's own, which tests pause and advance.
-func Monotonic() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) + time.Hour }
-}
