Give tasks that fill the room of those that are held back, and keep images of serving tasks apart

And two to three images of serving tasks shared a runner, each of which disturbs two thirds of the filling ones, since an occupied runner was preferred to an empty one that nothing else needs.

Now a task counts by its pace, 30% at least; serving tasks are taken to use 0.4 of what they reserve, about their mean load, not 0.6; and an empty runner comes before one with other images.

--- a/internal/flow/engine/decisions_test.go
+++ b/internal/flow/engine/decisions_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
 // TestDecisions runs the scripts in testdata/decisions, each of which replays the load that
@@ -60,6 +62,10 @@
 			v.observe(s.number(d, "ratio", 1))
 		}
 		return fmt.Sprintf("slow=%v\n", v.slow())
+	case "idle":
+		return s.idle(d)
+	case "serving-seat":
+		return s.servingSeat(d)
 	case "health":
 		return s.health(d)
 	}
@@ -157,3 +163,47 @@
 	}
 	return fmt.Sprintf("admits=%v after the pause: first=%v second=%v\n", h.admits(now, 0), h.admits(now+asideMost, 0), h.admits(now+asideMost, 1))
 }
+
+// idle prints the idle processors of a worker with the runs of the script, one a line: serves
+// or fills, processors and pace.
+func (s *decisions) idle(d *datadriven.TestData) string {
+	w := newWorker("a")
+	w.info = &flowpb.Runner{MilliCpu: int64(s.number(d, "cores", 0) * 1000)}
+	for i, line := range strings.Split(d.Input, "\n") {
+		var kind string
+		var cores float64
+		r := &run{number: uint32(i + 1), pace: paceFull}
+		if _, err := fmt.Sscan(line, &kind, &cores, &r.pace); err != nil {
+			s.t.Fatal(err)
+		}
+		def := &flowpb.Step{MilliCpu: int64(cores * 1000), Fills: kind == "fills"}
+		if kind == "serves" {
+			def.Lasting, def.TargetMillis = true, 10
+		}
+		j := &job{def: &flowpb.Job{Id: "j"}}
+		r.task = &task{step: &step{def: def, occurrence: &occurrence{job: j}}}
+		r.cpu, r.need = def.GetMilliCpu(), r.task.step.need()
+		w.attach(r)
+	}
+	return fmt.Sprintf("%.1f\n", float64(w.idle())/1000)
+}
+
+// servingSeat prints which worker a task that serves goes to; each line has the images of the
+// tasks that serve on one worker.
+func (s *decisions) servingSeat(d *datadriven.TestData) string {
+	best, bestScore := "", math.Inf(-1)
+	var image string
+	d.ScanArgs(s.t, "image", &image)
+	for _, line := range strings.Split(d.Input, "\n") {
+		name, images, _ := strings.Cut(line, ":")
+		w := newWorker(name)
+		for i, other := range strings.Fields(images) {
+			st := &step{def: &flowpb.Step{Lasting: true, TargetMillis: 10, Image: other}, occurrence: &occurrence{job: &job{def: &flowpb.Job{Id: "j"}}}}
+			w.attach(&run{number: uint32(i + 1), task: &task{step: st}})
+		}
+		if score := scoreServing(w, image); score > bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best + "\n"
+}
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -271,7 +271,6 @@
 	weightApart   = 100.0
 	weightBeside  = 10.0
 	weightSame    = 100.0
-	weightPacked  = 40.0
 	weightMixed   = 10.0
 	weightRack    = 1000.0
 	weightAvoided = 500.0
@@ -302,8 +301,8 @@
 	return score
 }
 
-// scoreServing scores a task that serves: tasks of one image are packed together, so that
-// every filling image finds workers where it disturbs nobody.
+// scoreServing scores a task that serves: tasks of one image are packed together and apart from
+// those of others, so that every filling image finds workers where it disturbs nobody.
 func scoreServing(w *worker, image string) (score float64) {
 	others := map[string]bool{}
 	for _, r := range w.runs.list {
@@ -315,9 +314,6 @@
 			others[r.task.step.def.GetImage()] = true
 		}
 	}
-	if len(others) > 0 {
-		score += weightPacked
-	}
 	return score - weightMixed*float64(len(others))
 }
 
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -63,9 +63,14 @@
 	return free
 }
 
-// servingUse is the share of its processors that a task which serves is taken to use; its
-// users' load swings, and tasks that fill get what it leaves.
-const servingUse = 0.6
+const (
+	// servingUse is the share of its processors that a task which serves is taken to use: about
+	// the mean load of its users. Tasks that fill get what it leaves.
+	servingUse = 0.4
+	// fillUseLeast is the share, in percent, of its processors that a task which fills is taken
+	// to use however far it is held back, so that not too many come back to full pace at once.
+	fillUseLeast = 30
+)
 
 // spare returns the processors, in thousandths, that other tasks leave to tasks that fill.
 func (w *worker) spare() int64 {
@@ -78,12 +83,13 @@
 	return spare
 }
 
-// idle returns the processors, in thousandths, that no task which fills has yet.
+// idle returns the processors, in thousandths, that no task which fills uses yet. Those that are
+// held back leave theirs to others, which may disturb nobody.
 func (w *worker) idle() int64 {
 	idle := w.spare()
 	for _, r := range w.runs.list {
 		if r.task.step.def.GetFills() {
-			idle -= r.cpu
+			idle -= r.cpu * int64(max(r.pace, fillUseLeast)) / paceFull
 		}
 	}
 	return idle
