Refuse urgent work by what waits, not by estimates alone

Cause, by the experiment: proof-checks were refused and came back a second later, too late, while each that was taken started within 40 ms; tasks that last reserve nearly all there is, and what is left over times the estimate of all running work made a queue that did not stand. While nothing that reserves its room has waited for 200 ms, a job counts by its own work and the free room alone.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -175,6 +175,10 @@
 	if fills && e.rate > 0 {
 		l.Capacity = min(l.Capacity, int64(e.rate))
 	}
+	if !fills && !e.queued(j, first.began) {
+		// What runs leaves room enough, whatever the estimates say of it.
+		l.Backlog, l.Capacity = 0, max(l.Capacity, e.freeCPU(j.queue.Service))
+	}
 	for _, s := range first.steps {
 		l.Backlog += float64(s.def.GetCount()) * e.estimates.millis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
 	}
@@ -187,6 +191,42 @@
 	return l, true
 }
 
+// queueLeast is how long tasks must have waited for a queue to be taken to stand.
+const queueLeast = 200 * time.Millisecond
+
+// freeCPU returns what nothing reserves on the runners of a service, in thousandths.
+func (e *Engine) freeCPU(service string) (free int64) {
+	for _, w := range e.workers {
+		if w.info.GetService() == service && w.synced {
+			free += max(0, w.free().MilliCPU())
+		}
+	}
+	return free
+}
+
+// queued reports whether tasks that reserve what they use wait for room on the runners of a
+// job's service.
+func (e *Engine) queued(j *job, now time.Duration) bool {
+	for _, other := range e.open {
+		if other.queue.Service != j.queue.Service || other.queue.Priority > j.queue.Priority {
+			continue
+		}
+		for _, o := range other.occurrences {
+			for _, s := range o.steps {
+				if o.done || !s.ready || s.def.GetFills() || s.def.GetLasting() {
+					continue
+				}
+				for _, t := range s.tasks {
+					if t.waits(now) && now-t.waitSince > queueLeast {
+						return true
+					}
+				}
+			}
+		}
+	}
+	return false
+}
+
 // fills reports whether the job's first step uses what others leave.
 func (j *job) fills() bool { return j.def.GetSteps()[0].GetFills() }
 
