Tell the story of one id from the logs of several processes

"jasminebay explain ID FILE…" prints the lines that name a job or a task of it in order of time, and between them what befell its VMs and the cell's owners.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -61,6 +61,7 @@
 	{"workers", "show workers", "Example:\n  jasminebay workers --output json"},
 	{"load", "measure the system under an open-loop load", "Reads what to send from a load file.\n\nExample:\n  jasminebay load --local examples/load-verband.json"},
 	{"experiment", "compare decisions on a load, in virtual time", "Plays a load against the engine of jobs made of steps alone, with simulated runners, once for each policy and seed.\n\nExample:\n  jasminebay experiment --policy all --seeds 3 experiment-verband-grown"},
+	{"explain", "tell the story of one id from logs", "Reads the logs of several processes and prints the lines that name a job, or a task of it, in order of time, with what befell its workers and owners meanwhile.\n\nExample:\n  jasminebay explain b91146771b0a8ead entry-1.log entry-2.log"},
 	{"version", "print the version", "Example:\n  jasminebay version"},
 }
 
@@ -101,6 +102,7 @@
 		"workers":        &workersCommand{ctx: ctx, streams: s},
 		"load":           &loadCommand{ctx: ctx, streams: s},
 		"experiment":     &experimentCommand{ctx: ctx, streams: s},
+		"explain":        &explainCommand{streams: s},
 		"version":        &versionCommand{streams: s},
 	}
 }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,41 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestExplain runs the script in testdata, whose input are logs; a line "== NAME" begins the
+// log of another process.
+func TestExplain(t *testing.T) {
+	datadriven.RunTest(t, "testdata/explain", func(t *testing.T, d *datadriven.TestData) string {
+		var id string
+		d.ScanArgs(t, "id", &id)
+		var sources []Source
+		for _, part := range strings.Split("\n"+d.Input, "\n== ")[1:] {
+			name, text, _ := strings.Cut(part, "\n")
+			sources = append(sources, Source{Name: name, In: strings.NewReader(text)})
+		}
+		s, err := Read(id, sources)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		var b strings.Builder
+		for _, row := range s.Rows() {
+			fmt.Fprintln(&b, strings.Join(row, " | "))
+		}
+		fmt.Fprintf(&b, "skipped %d\n", s.Skipped())
+		return b.String()
+	})
+}
+
+// TestTooLong has a line that is longer than any log line.
+func TestTooLong(t *testing.T) {
+	_, err := Read("x", []Source{{Name: "a", In: strings.NewReader(strings.Repeat("x", lineMost+1))}})
+	if err == nil || !strings.Contains(err.Error(), "log a") {
+		t.Fatal(err)
+	}
+}
