--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -52,7 +52,6 @@
 	now     time.Duration
 	engine  *engine.Engine
 	runners []*runner
-	byNode  map[string]*runner
 	jobs    map[string]*client
 	calls   map[uint64]*client
 	reads   map[uint64]*client
@@ -67,7 +66,7 @@
 // Play plays arrivals against the engine.
 func Play(ctx context.Context, o Options) (r *Result, err error) {
 	began := time.Now()
-	w := &world{load: o.Load, seed: o.Seed, byNode: map[string]*runner{}, jobs: map[string]*client{}, calls: map[uint64]*client{}, reads: map[uint64]*client{}, presses: map[string]float64{}}
+	w := &world{load: o.Load, seed: o.Seed, jobs: map[string]*client{}, calls: map[uint64]*client{}, reads: map[uint64]*client{}, presses: map[string]float64{}}
 	w.engine = engine.New(engine.Options{Epoch: 1, Lease: lease, Retention: time.Hour, LateFactor: lateFactor, Policy: o.Policy, Log: slog.New(slog.DiscardHandler)})
 	w.engine.SetGrantUntil(lengthMost * 4)
 	queues := map[string]engine.Queue{}
@@ -79,8 +78,9 @@
 	w.addRunners()
 	clients := make([]*client, len(o.Arrivals))
 	for i := range o.Arrivals {
-		a := &o.Arrivals[i]
-		c := &client{arrival: a, due: settleTime + a.At, first: settleTime + a.At}
+		a := o.Arrivals[i]
+		a.Job = w.withTargets(a.Job)
+		c := &client{arrival: &a, due: settleTime + a.At, first: settleTime + a.At}
 		clients[i], w.jobs[a.Job.GetId()] = c, c
 	}
 	w.later = clients
@@ -94,6 +94,17 @@
 	return w.result(o, clients, time.Since(began)), nil
 }
 
+// withTargets returns a copy of a job whose lasting tasks serve users of their own.
+func (w *world) withTargets(job *flowpb.Job) *flowpb.Job {
+	job = proto.CloneOf(job)
+	for _, s := range job.GetSteps() {
+		if s.GetLasting() {
+			s.TargetMillis = int64(w.load.Serving.TailMillis * w.load.Serving.TargetFactor)
+		}
+	}
+	return job
+}
+
 func (w *world) moment() engine.Moment {
 	return engine.Moment{Steady: time.Hour + w.now, Unix: time.Hour.Milliseconds() + w.now.Milliseconds()}
 }
@@ -113,7 +124,6 @@
 			reported: -time.Duration(i%int(reportInterval/pass)) * pass,
 		}
 		w.runners = append(w.runners, r)
-		w.byNode[name] = r
 		w.engine.Connect(name)
 		w.engine.Sync(name, &flowpb.Sync{Runner: r.info}, w.moment())
 	}
@@ -129,8 +139,7 @@
 	}
 	for _, r := range w.runners {
 		r.advance(w)
-		lost := r.fault != nil && r.fault.Kind == faultLost
-		if !lost && (len(r.ends) > 0 || len(r.results) > 0 || w.now-r.reported >= reportInterval) {
+		if !r.lost() && (len(r.ends) > 0 || len(r.results) > 0 || w.now-r.reported >= reportInterval) {
 			r.report(w)
 		}
 	}
@@ -200,7 +209,7 @@
 		}
 	}
 	for _, r := range w.runners {
-		if o := effects.Orders[r.node]; o != nil {
+		if o := effects.Orders[r.node]; o != nil && !r.lost() {
 			r.obey(w, o)
 		}
 	}
@@ -240,14 +249,7 @@
 		return
 	}
 	c.tries++
-	job := proto.CloneOf(c.arrival.Job)
-	for _, s := range job.GetSteps() {
-		if s.GetLasting() {
-			s.TargetMillis = int64(w.load.Serving.TailMillis * w.load.Serving.TargetFactor)
-		}
-	}
-	c.arrival.Job = job
-	w.engine.Submit(w.call, proto.CloneOf(job), w.moment())
+	w.engine.Submit(w.call, proto.CloneOf(c.arrival.Job), w.moment())
 }
 
 func (c *client) answered(w *world, reply engine.Reply) {
--- /dev/null
+++ b/internal/experiment/plot/plot_test.go
@@ -0,0 +1,31 @@
+package plot
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/jasminebay/jasminebay/internal/experiment"
+)
+
+func TestFiles(t *testing.T) {
+	is := is.New(t)
+	results := []*experiment.Result{
+		{Policy: "product", Kinds: []experiment.Kind{{Queue: "checks", Earned: 0.9}, {Queue: "renders", Earned: 0.5}}, Course: []experiment.Sample{{Seconds: 0}, {Seconds: 1, Filling: 20, Waiting: 3}}},
+		{Policy: "no-pacing", Kinds: []experiment.Kind{{Queue: "checks", Earned: 0.8}, {Queue: "renders", Earned: 0.7}}, Course: []experiment.Sample{{Seconds: 0}, {Seconds: 1, Filling: 30, Waiting: 1}}},
+	}
+	files, err := Files(t.TempDir(), results)
+	is.NoErr(err)
+	is.Equal(len(files), 3)
+	for _, file := range files {
+		svg, err := os.ReadFile(file)
+		is.NoErr(err)
+		is.True(strings.Contains(string(svg), "no-pacing")) // each policy is named
+	}
+	_, err = Files(t.TempDir(), nil)
+	is.True(err != nil)
+	_, err = Files(t.TempDir()+"/none", results)
+	is.True(err != nil)
+}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -128,7 +128,7 @@
 func (w *world) earnLasting() {
 	good := map[string]float64{}
 	for _, r := range w.runners {
-		if r.fault != nil && r.fault.Kind == faultLost {
+		if r.lost() {
 			continue
 		}
 		for _, x := range r.runs {
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -250,6 +250,9 @@
 	}
 }
 
+// lost reports whether the runner is cut off: what it runs goes on, unheard.
+func (r *runner) lost() bool { return r.fault != nil && r.fault.Kind == faultLost }
+
 func (r *runner) find(task string, number uint32) *run {
 	for _, x := range r.runs {
 		if x.id.Task == task && x.id.Run == number {
