--- a/internal/experiment/plot/plot.go
+++ b/internal/experiment/plot/plot.go
@@ -16,6 +16,8 @@
 	width    = 18 * vg.Centimeter
 	height   = 10 * vg.Centimeter
 	barWidth = 6 * vg.Millimeter
+	// legendRoom leaves room for the legend above bars of which the highest may reach 1.
+	legendRoom = 1.3
 )
 
 // Files draws into a directory what each policy earned, and for the first seed of each how the
@@ -58,7 +60,7 @@
 func earned(policies []string, by map[string][]*experiment.Result) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = "share earned, by kind"
-	p.Y.Min, p.Y.Max = 0, 1
+	p.Y.Min, p.Y.Max = 0, legendRoom
 	p.Legend.Top = true
 	kinds := experiment.Mean(by[policies[0]]).Kinds
 	for i, k := range kinds {
@@ -76,6 +78,7 @@
 		p.Legend.Add(k.Queue, bars)
 	}
 	p.NominalX(policies...)
+	p.X.Min, p.X.Max = -0.5, float64(len(policies))-0.5
 	p.X.Tick.Label.Rotation = 0.4
 	p.X.Tick.Label.XAlign = -1
 	return p, nil
