Count leases of earlier owners and starts under way across a crash

A report that came before the first commit of a new owner had returned made the worker schedulable without a lease; the next tick took 0 for a lease that had ended and started the run elsewhere, while the agent still held the lease of the owner before and ran it.

Change: no lease of an earlier owner outlasts the acquisition by more than the lease, so that this bounds each worker from the start, and the acquisition itself allows grants. Only workers with a lease of this owner get tasks. After a restart under the same id a run is lost when the first list under the new token lacks it; when the runner is gone, runs of which an attempt to start them got no answer wait for that list or the end of their lease. The agent also says how long a lease may be that the new incarnation took from a request meant for the one before, whose clock it does not share. An acknowledgement is sent only until it is confirmed, as the next incarnation would take it for its own.

Tests: engine/early-report, gone, late-start.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -48,9 +48,11 @@
 	Zone        string
 	Follower    *locate.Follower
 	Runner      driver.Runner
-	Clock       steady.Clock
-	Log         *slog.Logger
-	Metrics     *telemetry.Flow
+	// MaxLease is the longest lease that the runner accepts.
+	MaxLease time.Duration
+	Clock    steady.Clock
+	Log      *slog.Logger
+	Metrics  *telemetry.Flow
 }
 
 // Agent connects the runner on its VM to the owner of the cell. It is safe for concurrent use.
@@ -78,7 +80,15 @@
 	sequence        uint64
 	reportSentAt    [reportHistory]time.Duration
 	acknowledgedEnd uint64
-	lastCountedEnd  uint64
+	// confirmedEnd is the last acknowledgement that the runner has confirmed.
+	confirmedEnd   uint64
+	lastCountedEnd uint64
+	// unanswered holds the starts of which an attempt got no answer so far, with their tokens.
+	unanswered map[driver.RunID]uint64
+	// lastRunnerID is the id of the last runner that was announced. foreignLeaseEnd bounds, on this
+	// VM's steady clock, a lease that the runner has taken from a request to its incarnation before.
+	lastRunnerID    string
+	foreignLeaseEnd time.Duration
 	// leaseEnd is the end of the lease that the owner granted, on this VM's steady clock.
 	leaseEnd time.Duration
 	// clockOffset converts times on this VM's steady clock to the runner's clock. It may be too low
@@ -96,7 +106,10 @@
 
 // New returns an Agent. Run must be called next.
 func New(o Options) *Agent {
-	return &Agent{options: o, loop: loop.New(), wakePoll: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxParallelOrders)}
+	return &Agent{
+		options: o, loop: loop.New(), wakePoll: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxParallelOrders),
+		state: loopState{unanswered: map[driver.RunID]uint64{}},
+	}
 }
 
 // Run serves the runner until ctx ends.
@@ -186,7 +199,7 @@
 		switch {
 		case before == nil || before.GetId() != r.GetId() || before.GetBorn() != r.GetBorn():
 			a.options.Log.Info("runner announced", "runner", r.GetId(), "born", r.GetBorn(), "service", r.GetService(), "cpu", r.GetMilliCpu(), "memory-mb", r.GetMemoryMb())
-			a.state.acknowledgedEnd, a.state.lastCountedEnd, a.state.clockReadAt = 0, 0, 0
+			a.beginIncarnation(r.GetId())
 			a.requestToken(false)
 		case before.GetDraining() != r.GetDraining():
 			a.options.Log.Info("runner state changed", "runner", r.GetId(), "draining", r.GetDraining(), "remaining-ms", r.GetRemainingMillis())
@@ -222,6 +235,17 @@
 	return leaving
 }
 
+// beginIncarnation resets what counts anew with each incarnation of the runner. If it has the id of
+// the one before, it may have carried out requests that were meant for that one. Their leases are
+// times on another clock, so that the runner may have taken them for the longest that it accepts.
+func (a *Agent) beginIncarnation(id string) {
+	if id == a.state.lastRunnerID {
+		a.state.foreignLeaseEnd = a.options.Clock() + a.options.MaxLease
+	}
+	a.state.lastRunnerID = id
+	a.state.acknowledgedEnd, a.state.confirmedEnd, a.state.lastCountedEnd, a.state.clockReadAt = 0, 0, 0, 0
+}
+
 // requestToken revokes the current token and requests a new one. gone is set if the
 // runner no longer runs.
 func (a *Agent) requestToken(gone bool) {
@@ -230,7 +254,11 @@
 	if a.state.link == nil || a.state.runner == nil {
 		return
 	}
-	a.state.link.Send(link.Sync(&flowpb.Sync{Runner: a.state.runner, Gone: gone}))
+	s := &flowpb.Sync{Runner: a.state.runner, Gone: gone, LeaseMillis: max(0, a.state.foreignLeaseEnd-a.options.Clock()).Milliseconds()}
+	for id := range a.state.unanswered {
+		s.Unanswered = append(s.Unanswered, &flowpb.RunKey{Task: id.Task, Run: id.Run})
+	}
+	a.state.link.Send(link.Sync(s))
 }
 
 // resync requests a new token, so that the owner determines whether an indeterminate start took
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -9,11 +9,12 @@
 )
 
 // sendOrder sends an order from a goroutine of its own, retries it a few times while the runner
-// does not answer, and then calls done on the loop.
-func (a *Agent) sendOrder(order func(ctx context.Context) error, done func(error)) {
+// does not answer, and then calls done on the loop. answered is set if each attempt was answered.
+func (a *Agent) sendOrder(order func(ctx context.Context) error, done func(err error, answered bool)) {
 	a.orders.Go(func() {
 		a.orderSlots <- struct{}{}
 		var err error
+		answered := true
 		for range maxOrderAttempts {
 			ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
 			err = order(ctx)
@@ -21,9 +22,10 @@
 			if !errors.Is(err, driver.ErrRunnerIndeterminate) {
 				break
 			}
+			answered = false
 		}
 		<-a.orderSlots
-		a.loop.Post(func() { done(err) })
+		a.loop.Post(func() { done(err, answered) })
 	})
 }
 
@@ -47,11 +49,15 @@
 		return
 	}
 	began := a.options.Clock()
+	a.state.unanswered[order.RunID] = token
 	var clock driver.RunnerTime
 	a.sendOrder(func(ctx context.Context) (err error) {
 		clock, err = a.options.Runner.Start(ctx, runner, order)
 		return err
-	}, func(err error) {
+	}, func(err error, answered bool) {
+		if answered {
+			delete(a.state.unanswered, order.RunID)
+		}
 		outcome := startOutcome(err)
 		took := a.options.Clock() - began
 		a.options.Metrics.RecordStart(outcome.String(), took)
@@ -93,7 +99,7 @@
 
 func (a *Agent) stop(id driver.RunID) {
 	token, runner := a.state.token, a.runnerID()
-	a.sendOrder(func(ctx context.Context) error { return a.options.Runner.Stop(ctx, runner, id, token) }, func(err error) {
+	a.sendOrder(func(ctx context.Context) error { return a.options.Runner.Stop(ctx, runner, id, token) }, func(err error, _ bool) {
 		if err != nil {
 			a.options.Log.Info("stop failed", "task", id.Task, "run", id.Run, "runner", runner.ID, "error", err.Error())
 		}
@@ -102,7 +108,7 @@
 
 func (a *Agent) setPace(id driver.RunID, percent int) {
 	token, runner := a.state.token, a.runnerID()
-	a.sendOrder(func(ctx context.Context) error { return a.options.Runner.Pace(ctx, runner, id, percent, token) }, func(err error) {
+	a.sendOrder(func(ctx context.Context) error { return a.options.Runner.Pace(ctx, runner, id, percent, token) }, func(err error, _ bool) {
 		if err != nil {
 			a.options.Log.Info("setting the pace failed", "task", id.Task, "run", id.Run, "percent", percent, "error", err.Error())
 		}
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
@@ -74,7 +75,12 @@
 	if a.state.runner == nil || a.state.token == 0 {
 		return order, id, false
 	}
-	order = driver.HoldRequest{Token: a.state.token, Acknowledged: a.state.acknowledgedEnd, LeaseEnd: a.runnerLeaseEnd(), Wait: pollWait}
+	order = driver.HoldRequest{Token: a.state.token, LeaseEnd: a.runnerLeaseEnd(), Wait: pollWait}
+	if a.state.acknowledgedEnd > a.state.confirmedEnd {
+		// The request may reach the next incarnation of the runner, which would forget its own ends
+		// up to this number.
+		order.Acknowledged = a.state.acknowledgedEnd
+	}
 	if !a.state.tokenConfirmed || order.LeaseEnd == 0 {
 		order.Wait = 0
 	}
@@ -95,13 +101,16 @@
 	if report.Runner.StartedMillis != 0 && report.Runner.StartedMillis != a.state.runner.GetBorn() {
 		a.options.Log.Info("runner restarted under the same id", "runner", id.ID, "born", report.Runner.StartedMillis)
 		a.state.runner = withStartTime(a.state.runner, report.Runner.StartedMillis)
-		a.state.acknowledgedEnd, a.state.lastCountedEnd = 0, 0
+		a.beginIncarnation(id.ID)
 		a.requestToken(false)
 		return false
 	}
 	a.updateClockOffset(report.Clock)
+	a.state.confirmedEnd = max(a.state.confirmedEnd, order.Acknowledged)
 	newlyConfirmed := !a.state.tokenConfirmed
 	a.state.tokenConfirmed = true
+	// The runner no longer carries out starts under earlier tokens.
+	maps.DeleteFunc(a.state.unanswered, func(_ driver.RunID, token uint64) bool { return token < order.Token })
 	message := &flowpb.Report{Listed: true}
 	a.state.busy = len(report.Ended) > 0
 	for _, r := range report.Running {
--- a/internal/flow/engine/decisions_test.go
+++ b/internal/flow/engine/decisions_test.go
@@ -174,7 +174,7 @@
 // idle prints the idle processors of a worker. Each input line describes one run on it: "serves" or
 // "fills", processors, and pace in percent.
 func (s *decisionsTest) idle(d *datadriven.TestData) string {
-	w := newWorker("a")
+	w := newWorker("a", 0)
 	w.info = &flowpb.Runner{MilliCpu: int64(s.number(d, "cores", 0) * 1000)}
 	for i, line := range strings.Split(d.Input, "\n") {
 		var kind string
@@ -203,7 +203,7 @@
 	d.ScanArgs(s.t, "image", &image)
 	for _, line := range strings.Split(d.Input, "\n") {
 		name, images, _ := strings.Cut(line, ":")
-		w := newWorker(name)
+		w := newWorker(name, 0)
 		for i, other := range strings.Fields(images) {
 			st := &step{def: &flowpb.Step{Lasting: true, TargetMillis: 10, Image: other}, occurrence: &occurrence{job: &job{def: &flowpb.Job{Id: "j"}}}}
 			w.attach(&run{number: uint32(i + 1), task: &task{step: st}})
--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -35,10 +35,22 @@
 		w.acknowledgedEnd, w.processedEnd, w.orphanRuns, w.health = 0, 0, map[driver.RunID]time.Duration{}, health{}
 	}
 	w.info = info
+	if held := time.Duration(s.GetLeaseMillis()) * time.Millisecond; held > 0 {
+		w.leaseEnd = max(w.leaseEnd, leaseExpiry(now.Monotonic, held, held))
+	}
+	unanswered := map[driver.RunID]bool{}
+	for _, key := range s.GetUnanswered() {
+		unanswered[driver.RunID{Task: key.GetTask(), Run: key.GetRun()}] = true
+	}
 	for _, r := range w.runs.list {
-		if s.GetGone() || !sameIncarnation(r.incarnation, info) {
+		switch {
+		case r.incarnation.GetId() != info.GetId(), s.GetGone() && !unanswered[r.id]:
 			e.markLost(r, now.Monotonic, "runner is gone")
+		case r.phase == phasePlanned && !sameIncarnation(r.incarnation, info):
+			e.markLost(r, now.Monotonic, "runner has restarted")
 		}
+		// A start that was under way when the runner restarted may have been carried out by the new
+		// incarnation. Its first list under the new token shows whether it was.
 	}
 	e.options.Log.Info("runner synchronised", "node", node, "runner", info.GetId(), "born", info.GetBorn(), "gone", s.GetGone(), "token", w.token, "draining", info.GetDraining())
 	if !s.GetGone() {
@@ -76,7 +88,8 @@
 	if length <= 0 || !w.synced {
 		return
 	}
-	w.leaseEnd = max(w.leaseEnd, leaseExpiry(now, length))
+	w.grantedUntil = now + length
+	w.leaseEnd = max(w.leaseEnd, leaseExpiry(now, length, e.options.Lease))
 	o := e.ordersFor(w)
 	o.Report, o.GrantMillis = w.reportSequence, length.Milliseconds()
 }
@@ -88,6 +101,7 @@
 		id := driver.RunID{Task: reported.GetTask(), Run: reported.GetRun()}
 		seen[id] = true
 		if r := w.runs.get(id); r != nil {
+			r.incarnation = w.info
 			e.updateProgress(r, reported, now.Monotonic)
 		} else if _, known := w.orphanRuns[id]; !known {
 			w.orphanRuns[id] = 0
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -27,6 +27,9 @@
 // Options configures an Engine.
 type Options struct {
 	Epoch uint64
+	// AcquiredAt is when this process acquired the cell, on the monotonic clock. No lease of an
+	// earlier owner lasts longer than Lease from then on.
+	AcquiredAt time.Duration
 	// Lease is how long a runner may run tasks after sending a report that the owner answered.
 	Lease time.Duration
 	// Retention is how long a job can be read after its end.
@@ -81,7 +84,7 @@
 // New returns an Engine without jobs.
 func New(o Options) *Engine {
 	return &Engine{
-		options: o, jobs: map[string]*job{}, openJobs: map[string]*job{}, workers: map[string]*worker{},
+		options: o, grantUntil: o.AcquiredAt + o.Lease, jobs: map[string]*job{}, openJobs: map[string]*job{}, workers: map[string]*worker{},
 		queues: map[string]Queue{}, lastToken: o.Epoch << tokenEpochShift, estimates: durationBiases{}, interference: interferenceModel{},
 		effects: Effects{Orders: map[string]*flowpb.Orders{}},
 	}
@@ -95,7 +98,6 @@
 	}
 	j, err := restore(def, p, now.Monotonic, func(t *task, a *flowpb.Assignment) {
 		w := e.worker(a.GetNode())
-		w.leaseEnd = leaseExpiry(now.Monotonic, e.options.Lease)
 		r := &run{task: t, number: a.GetRun(), phase: phaseSent, batched: true, sentAt: now.Monotonic, reserved: t.step.resources(), pace: 100, milliCPU: t.step.def.GetMilliCpu(), incarnation: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
 		t.runs = append(t.runs, r)
 		w.attach(r)
@@ -159,7 +161,7 @@
 func (e *Engine) worker(node string) *worker {
 	w := e.workers[node]
 	if w == nil {
-		w = newWorker(node)
+		w = newWorker(node, leaseExpiry(e.options.AcquiredAt, e.options.Lease, e.options.Lease))
 		e.workers[node], e.workersByName = w, nil
 	}
 	return w
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -224,7 +224,8 @@
 	// processors.
 	milliCPU int64
 	reserved driver.Resources
-	// incarnation identifies the incarnation of the runner that the run was planned for.
+	// incarnation identifies the incarnation of the runner that the run was planned for, or that
+	// has listed it.
 	incarnation *flowpb.Runner
 	checkpoint  string
 	// batched is set once the run has been included in a batch, whether or not that batch has
--- a/internal/flow/engine/takeover_test.go
+++ b/internal/flow/engine/takeover_test.go
@@ -20,6 +20,8 @@
 const (
 	modelLease   = 4 * time.Second
 	modelRunners = 3
+	// modelMaxLease is the longest lease that a runner accepts.
+	modelMaxLease = 6 * time.Second
 	// modelClockDrift is how much longer a lease may last by the clock of a runner, the most that
 	// the platform allows.
 	modelClockDrift = 1.02
@@ -63,12 +65,14 @@
 			"connect":      func(t *rapid.T) { m.connect(m.runner(t), m.owner(t)) },
 			"cut":          func(t *rapid.T) { m.cut(m.runner(t), rapid.Bool().Draw(t, "seen")) },
 			"report":       func(t *rapid.T) { m.report(m.runner(t)) },
-			"deliver":      func(t *rapid.T) { m.deliver(m.runner(t)) },
+			"deliver":      func(t *rapid.T) { m.deliver(m.runner(t), true) },
+			"lose start":   func(t *rapid.T) { m.deliver(m.runner(t), false) },
 			"exchange":     func(t *rapid.T) { m.exchange(m.runner(t)) },
 			"late start":   func(t *rapid.T) { m.deliverLate(m.runner(t), t) },
 			"end":          func(t *rapid.T) { m.end(m.runner(t), t) },
-			"crash":        func(t *rapid.T) { m.crash(m.runner(t)) },
+			"crash":        func(t *rapid.T) { m.crash(m.runner(t), rapid.Bool().Draw(t, "returns")) },
 			"run normally": func(*rapid.T) { m.runNormally() },
+			"report early": func(*rapid.T) { m.reportBeforeFirstCommit() },
 		})
 	})
 }
@@ -116,6 +120,10 @@
 type modelRunner struct {
 	node          string
 	startedMillis int64
+	// knownStartedMillis identifies the incarnation that the agent knows of, or is 0 if it takes the
+	// runner for gone. down is set while the runner does not run.
+	knownStartedMillis int64
+	down               bool
 	// owner is the one that the agent has a session with, and token the one that it issued.
 	owner *modelOwner
 	token uint64
@@ -124,7 +132,11 @@
 	reportSequence uint64
 	reportSentAt   map[uint64]time.Duration
 	leaseEnd       time.Duration
-	running        map[string]uint32
+	// agentLeaseEnd is the end of the lease that the agent has been granted.
+	agentLeaseEnd time.Duration
+	// foreignLeaseEnd bounds a lease that the runner took from a request to an earlier incarnation.
+	foreignLeaseEnd time.Duration
+	running         map[string]uint32
 	// highestEndedRun is the number of the last run of a task that was stopped or has ended.
 	highestEndedRun map[string]uint32
 	// ends are those that were not acknowledged.
@@ -135,18 +147,20 @@
 }
 
 // receivedStart is a start that an agent has received, with the state under which it passes the
-// start on to the runner.
+// start on to the runner. A start that was not answered may still reach the runner, or a later
+// incarnation of it, until its lease ends.
 type receivedStart struct {
 	start         *flowpb.Start
 	token         uint64
 	leaseEnd      time.Duration
 	startedMillis int64
+	answered      bool
 }
 
 func newModel(t *rapid.T) *model {
 	m := &model{t: t, now: time.Hour, jobs: map[string]*flowpb.Job{}, progress: map[string]*flowpb.Progress{}, completed: map[string]bool{}}
 	for i := range modelRunners {
-		m.runners = append(m.runners, &modelRunner{node: fmt.Sprintf("n%d", i), reportSentAt: map[uint64]time.Duration{}, running: map[string]uint32{}, highestEndedRun: map[string]uint32{}})
+		m.runners = append(m.runners, &modelRunner{node: fmt.Sprintf("n%d", i), startedMillis: 1, knownStartedMillis: 1, reportSentAt: map[uint64]time.Duration{}, running: map[string]uint32{}, highestEndedRun: map[string]uint32{}})
 	}
 	m.takeOver()
 	return m
@@ -170,9 +184,8 @@
 func (m *model) takeOver() {
 	m.head = [2]uint64{m.head[0] + 1, 0}
 	o := &modelOwner{head: m.head, sessions: map[*modelRunner]bool{}}
-	o.engine = New(Options{Epoch: m.head[0], Lease: modelLease, Retention: time.Hour, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	o.engine = New(Options{Epoch: m.head[0], AcquiredAt: m.now, Lease: modelLease, Retention: time.Hour, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	o.engine.Configure(map[string]Queue{testQueue.Name: testQueue})
-	o.engine.SetGrantUntil(m.now + modelLease)
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		if err := o.engine.Restore(proto.CloneOf(m.jobs[id]), proto.CloneOf(m.progress[id]), m.timestamp()); err != nil {
 			m.t.Fatal(err)
@@ -264,15 +277,32 @@
 }
 
 func (m *model) info(r *modelRunner) *flowpb.Runner {
-	return &flowpb.Runner{Id: r.node, Born: r.startedMillis, Service: testQueue.Service, MilliCpu: 3000, MemoryMb: 100}
+	return &flowpb.Runner{Id: r.node, Born: r.knownStartedMillis, Service: testQueue.Service, MilliCpu: 3000, MemoryMb: 100}
 }
 
 func (m *model) connect(r *modelRunner, o *modelOwner) {
 	m.cut(r, true)
 	r.owner, r.token, r.undelivered = o, 0, nil
 	o.engine.Connect(r.node)
-	o.engine.Sync(r.node, &flowpb.Sync{Runner: m.info(r)}, m.timestamp())
-	m.afterEvent(o)
+	if r.knownStartedMillis > 0 {
+		m.sync(r, false)
+	}
+}
+
+// sync requests a new token. gone tells that the known incarnation of the runner no longer runs.
+func (m *model) sync(r *modelRunner, gone bool) {
+	r.token = 0
+	if r.owner == nil {
+		return
+	}
+	s := &flowpb.Sync{Runner: m.info(r), Gone: gone, LeaseMillis: max(0, r.foreignLeaseEnd-m.now).Milliseconds()}
+	for _, received := range r.receivedStarts {
+		if !received.answered {
+			s.Unanswered = append(s.Unanswered, &flowpb.RunKey{Task: received.start.GetTask(), Run: received.start.GetRun()})
+		}
+	}
+	r.owner.engine.Sync(r.node, s, m.timestamp())
+	m.afterEvent(r.owner)
 }
 
 // cut ends the session of an agent; seen tells whether the owner notices it.
@@ -284,19 +314,38 @@
 	r.owner, r.token, r.undelivered = nil, 0, nil
 }
 
-// report sends the runs and ends of the runner under the agent's token.
+// report polls the runner and sends its runs and ends under the agent's token.
 func (m *model) report(r *modelRunner) {
+	if r.knownStartedMillis == 0 {
+		if !r.down {
+			m.noticeIncarnation(r)
+		}
+		return
+	}
 	if r.owner == nil || r.token == 0 {
 		return
 	}
+	if r.down {
+		m.sync(r, true)
+		r.knownStartedMillis = 0
+		return
+	}
 	if r.token < r.highestToken {
 		// The runner refuses the stale token, so that the agent synchronises.
-		r.owner.engine.Sync(r.node, &flowpb.Sync{Runner: m.info(r)}, m.timestamp())
-		r.token = 0
-		m.afterEvent(r.owner)
+		m.sync(r, false)
 		return
 	}
 	r.highestToken = r.token
+	if r.knownStartedMillis != r.startedMillis {
+		// A poll meant for the incarnation before carries a lease by another clock.
+		if r.agentLeaseEnd > m.now {
+			r.leaseEnd = m.now + modelMaxLease
+		}
+		m.noticeIncarnation(r)
+		return
+	}
+	r.leaseEnd = max(r.leaseEnd, r.agentLeaseEnd)
+	r.receivedStarts = slices.DeleteFunc(r.receivedStarts, func(s receivedStart) bool { return s.token < r.token && !s.answered })
 	r.reportSequence++
 	r.reportSentAt[r.reportSequence] = m.now
 	report := &flowpb.Report{Token: r.token, Sequence: r.reportSequence, Runner: m.info(r), Listed: true, Ends: slices.Clone(r.ends)}
@@ -307,33 +356,47 @@
 	m.afterEvent(r.owner)
 }
 
+// noticeIncarnation lets the agent learn that the runner has restarted under its id.
+func (m *model) noticeIncarnation(r *modelRunner) {
+	r.knownStartedMillis, r.foreignLeaseEnd = r.startedMillis, m.now+modelMaxLease
+	m.sync(r, false)
+}
+
 // deliver hands the next orders to the agent, which carries them out on the runner unless they
-// are for an earlier incarnation or under a stale token.
-func (m *model) deliver(r *modelRunner) {
+// are for an earlier incarnation or under a stale token. Starts get no answer unless answered is
+// set, and take no effect yet.
+func (m *model) deliver(r *modelRunner, answered bool) {
 	if len(r.undelivered) == 0 {
 		return
 	}
 	o := r.undelivered[0]
 	r.undelivered = r.undelivered[1:]
-	if o.GetBorn() != r.startedMillis || o.GetToken() < r.token {
+	if o.GetBorn() != r.knownStartedMillis || o.GetToken() < r.token {
 		return
 	}
 	r.token = o.GetToken()
 	if o.GetGrantMillis() > 0 {
 		granted := time.Duration(o.GetGrantMillis()) * time.Millisecond
-		r.leaseEnd = max(r.leaseEnd, r.reportSentAt[o.GetReport()]+time.Duration(float64(granted)*modelClockDrift))
+		r.agentLeaseEnd = max(r.agentLeaseEnd, r.reportSentAt[o.GetReport()]+time.Duration(float64(granted)*modelClockDrift))
 	}
-	if r.token >= r.highestToken {
+	sameIncarnation := !r.down && r.knownStartedMillis == r.startedMillis
+	if sameIncarnation && r.token >= r.highestToken {
 		r.highestToken = r.token
+		r.leaseEnd = max(r.leaseEnd, r.agentLeaseEnd)
 		m.acknowledge(r, o.GetSettled())
 	}
 	for _, s := range o.GetStarts() {
-		received := receivedStart{start: s, token: o.GetToken(), leaseEnd: r.leaseEnd, startedMillis: r.startedMillis}
+		received := receivedStart{start: s, token: o.GetToken(), leaseEnd: r.agentLeaseEnd, startedMillis: r.knownStartedMillis, answered: answered && !r.down}
+		if m.now >= received.leaseEnd {
+			continue
+		}
 		r.receivedStarts = append(r.receivedStarts, received)
-		m.start(r, received)
+		if received.answered {
+			m.start(r, received)
+		}
 	}
 	for _, s := range o.GetStops() {
-		if o.GetToken() >= r.highestToken {
+		if sameIncarnation && o.GetToken() >= r.highestToken {
 			r.highestEndedRun[s.GetTask()] = max(r.highestEndedRun[s.GetTask()], s.GetRun())
 			if r.running[s.GetTask()] == s.GetRun() {
 				m.finish(r, s.GetTask(), driver.EndStopped)
@@ -351,12 +414,12 @@
 	r.ends = slices.DeleteFunc(r.ends, func(e *flowpb.End) bool { return e.GetNumber() <= number })
 }
 
-// start is how a runner handles a start, whenever that arrives. It ignores a start for an earlier
-// incarnation, under a stale token, after its lease, or of a run that is not newer than those it
-// has seen.
+// start is how a runner handles a start, whenever that arrives. It ignores a start under a stale
+// token, after its lease, or of a run that is not newer than those it has seen. It can't tell a start
+// that was meant for an earlier incarnation under its id, whose clock it does not share.
 func (m *model) start(r *modelRunner, o receivedStart) {
 	task := o.start.GetTask()
-	if o.startedMillis != r.startedMillis || o.token < r.highestToken || m.now >= o.leaseEnd || o.start.GetRun() <= r.highestEndedRun[task] || r.running[task] >= o.start.GetRun() {
+	if r.down || o.token < r.highestToken || m.now >= o.leaseEnd || o.start.GetRun() <= r.highestEndedRun[task] || r.running[task] >= o.start.GetRun() {
 		return
 	}
 	r.highestToken = o.token
@@ -364,13 +427,22 @@
 		m.t.Fatalf("task %s starts as run %d after its end was acknowledged", task, o.start.GetRun())
 	}
 	r.running[task] = o.start.GetRun()
-	r.leaseEnd = max(r.leaseEnd, o.leaseEnd)
+	if o.startedMillis == r.startedMillis {
+		r.leaseEnd = max(r.leaseEnd, o.leaseEnd)
+	} else {
+		r.leaseEnd = m.now + modelMaxLease
+	}
 }
 
-// deliverLate delivers an earlier start to the runner again, after newer orders.
+// deliverLate delivers an earlier start to the runner again, after newer orders. A copy of an
+// answered one does not outlive the connection to its incarnation.
 func (m *model) deliverLate(r *modelRunner, t *rapid.T) {
-	if len(r.receivedStarts) > 0 {
-		m.start(r, r.receivedStarts[rapid.IntRange(0, len(r.receivedStarts)-1).Draw(t, "order")])
+	if len(r.receivedStarts) == 0 {
+		return
+	}
+	o := r.receivedStarts[rapid.IntRange(0, len(r.receivedStarts)-1).Draw(t, "order")]
+	if !o.answered || o.startedMillis == r.startedMillis {
+		m.start(r, o)
 	}
 }
 
@@ -389,16 +461,15 @@
 	delete(r.running, task)
 }
 
-// crash restarts the runner under its id, with all its state lost.
-func (m *model) crash(r *modelRunner) {
-	r.startedMillis++
+// crash ends the runner, with all its state lost, and starts its next incarnation under the same id
+// if it returns. Its agent learns of it from the next poll.
+func (m *model) crash(r *modelRunner, returns bool) {
+	if !r.down {
+		r.startedMillis++
+	}
+	r.down = !returns
 	r.highestToken, r.lastEnd, r.leaseEnd = 0, 0, 0
 	r.running, r.highestEndedRun, r.ends = map[string]uint32{}, map[string]uint32{}, nil
-	if r.owner != nil {
-		r.token, r.undelivered = 0, nil
-		r.owner.engine.Sync(r.node, &flowpb.Sync{Runner: m.info(r)}, m.timestamp())
-		m.afterEvent(r.owner)
-	}
 }
 
 // advanceTime advances the clock. Leases expire on the runners before their owners count them as
@@ -421,11 +492,11 @@
 // exchange delivers all orders, sends a report, and delivers the orders that follow from it.
 func (m *model) exchange(r *modelRunner) {
 	for len(r.undelivered) > 0 {
-		m.deliver(r)
+		m.deliver(r, true)
 	}
 	m.report(r)
 	for len(r.undelivered) > 0 {
-		m.deliver(r)
+		m.deliver(r, true)
 	}
 }
 
@@ -445,6 +516,19 @@
 	}
 }
 
+// reportBeforeFirstCommit hands the cell over to an owner that all agents report to, and that
+// accepts a job, before its first commit has returned.
+func (m *model) reportBeforeFirstCommit() {
+	m.takeOver()
+	o := m.owners[len(m.owners)-1]
+	for _, r := range m.runners {
+		m.connect(r, o)
+		m.deliver(r, true)
+		m.report(r)
+	}
+	m.submit(o)
+}
+
 // checkSingleRun checks that no task runs on two runners.
 func (m *model) checkSingleRun(t *rapid.T) {
 	nodes := map[string]string{}
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -29,8 +29,11 @@
 	connected bool
 	// synced is set once the runner has listed its runs under the token.
 	synced bool
-	// leaseEnd is when all granted leases have expired, so that no run can be live any more.
+	// leaseEnd is when all leases have expired, those of earlier owners included, so that no run
+	// can be live any more.
 	leaseEnd time.Duration
+	// grantedUntil is the end of the last lease that this owner has granted.
+	grantedUntil time.Duration
 	// reportedAt and reportSequence are the arrival and the number of the last report.
 	reportedAt     time.Duration
 	reportSequence uint64
@@ -52,8 +55,9 @@
 	fullUntil time.Duration
 }
 
-func newWorker(node string) *worker {
-	return &worker{node: node, info: &flowpb.Runner{}, runs: runSet{byID: map[driver.RunID]*run{}}, orphanRuns: map[driver.RunID]time.Duration{}}
+// newWorker returns a worker whose runner may hold a lease of an earlier owner until leaseEnd.
+func newWorker(node string, leaseEnd time.Duration) *worker {
+	return &worker{node: node, leaseEnd: leaseEnd, info: &flowpb.Runner{}, runs: runSet{byID: map[driver.RunID]*run{}}, orphanRuns: map[driver.RunID]time.Duration{}}
 }
 
 func (w *worker) capacity() driver.Resources {
@@ -125,9 +129,10 @@
 	return labels[len(labels)-1]
 }
 
-// schedulable reports whether new tasks may be placed on the worker.
+// schedulable reports whether new tasks may be placed on the worker. An agent without a lease of
+// this owner may refuse starts.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.connected && w.synced && !w.info.GetDraining() && !w.info.GetAgentLeaving() &&
+	return w.connected && w.synced && now < w.grantedUntil && !w.info.GetDraining() && !w.info.GetAgentLeaving() &&
 		now-w.reportedAt < maxReportAge && len(w.orphanRuns) == 0
 }
 
@@ -150,8 +155,9 @@
 	w.runs.add(r)
 }
 
-// leaseExpiry returns when a lease granted now has certainly expired on the runner, on the
-// owner's monotonic clock.
-func leaseExpiry(now, grant time.Duration) time.Duration {
-	return now + grant + time.Duration(float64(grant)*maxClockDrift) + leaseMargin
+// leaseExpiry returns when a lease granted now, and every lease granted before for a time that ends
+// no later, has certainly expired on the runner, on the owner's monotonic clock. No lease is longer
+// than longest.
+func leaseExpiry(now, grant, longest time.Duration) time.Duration {
+	return now + grant + time.Duration(float64(longest)*maxClockDrift) + leaseMargin
 }
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -30,7 +30,10 @@
 	progress map[string]*flowpb.Progress
 	runners  map[string]*fakeRunner
 	lastCall uint64
-	output   []string
+	// holdsCommits is set while a commit gets no answer, heldBatch is its content.
+	holdsCommits bool
+	heldBatch    *Batch
+	output       []string
 }
 
 // fakeRunner is a runner and its agent.
@@ -50,7 +53,8 @@
 func TestEngine(t *testing.T) {
 	datadriven.Walk(t, "testdata/engine", func(t *testing.T, path string) {
 		h := &harness{t: t, now: Timestamp{Monotonic: time.Hour, UnixMillis: 1_000_000}, jobs: map[string]*flowpb.Job{}, progress: map[string]*flowpb.Progress{}, runners: map[string]*fakeRunner{}}
-		h.restart()
+		h.restart(0)
+		h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			h.output = nil
 			h.runCommand(d)
@@ -63,10 +67,11 @@
 	h.output = append(h.output, fmt.Sprintf(format, args...))
 }
 
-// restart replaces the engine by one that is restored from the store.
-func (h *harness) restart() {
+// restart replaces the engine by one that is restored from the store, and that has acquired the cell
+// some time ago.
+func (h *harness) restart(ago time.Duration) {
 	h.epoch++
-	h.engine = New(Options{Epoch: h.epoch, Lease: 4 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
 		if err := h.engine.Restore(proto.CloneOf(h.jobs[id]), h.progress[id], h.now); err != nil {
 			h.t.Fatal(err)
@@ -75,7 +80,6 @@
 	urgent := testQueue
 	urgent.Name, urgent.Priority = "urgent", 0
 	h.engine.Configure(map[string]Queue{testQueue.Name: testQueue, urgent.Name: urgent})
-	h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
 }
 
 func (h *harness) runCommand(d *datadriven.TestData) {
@@ -132,8 +136,40 @@
 		running.Gauge, running.Percent = int64(value), int32(percent)
 	case "deaf":
 		h.runners[name].dropsOrders = true
+	case "crash":
+		r := h.runners[name]
+		r.info = proto.CloneOf(r.info)
+		r.info.Born++
+		r.running, r.ends, r.lastEnd, r.acknowledgedEnd = map[driver.RunID]*flowpb.Run{}, nil, 0, 0
+		if id != "" {
+			// The new incarnation carries out a start that was sent to the one before.
+			r.running[driver.RunID{Task: id, Run: uint32(n)}] = &flowpb.Run{Task: id, Run: uint32(n)}
+		}
+		h.engine.Sync(name, &flowpb.Sync{Runner: r.info, LeaseMillis: int64(ms)}, h.now)
+		h.carryOutEffects()
+		h.report(name)
+		h.commitAll()
+	case "gone":
+		s := &flowpb.Sync{Runner: h.runners[name].info, Gone: true}
+		if id != "" {
+			s.Unanswered = []*flowpb.RunKey{{Task: id, Run: uint32(n)}}
+		}
+		h.engine.Sync(name, s, h.now)
+		h.runners[name].dropsOrders = true
+		h.commitAll()
+	case "hold-commits":
+		h.holdsCommits = true
+	case "release-commits":
+		h.holdsCommits = false
+		h.commit(h.heldBatch)
+		h.commitAll()
+	case "own":
+		h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
 	case "restart":
-		h.restart()
+		h.restart(time.Duration(ms) * time.Millisecond)
+		if !d.HasArg("ms") {
+			h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
+		}
 		for _, node := range slices.Sorted(maps.Keys(h.runners)) {
 			h.connect(node)
 		}
@@ -242,6 +278,9 @@
 	}
 	kinds := map[string]driver.EndKind{"done": driver.EndDone, "failed": driver.EndFailed, "stopped": driver.EndStopped}
 	h.runners[name].end(id, kinds[kind], checkpoint)
+	if d.HasArg("unreported") {
+		return
+	}
 	h.report(name)
 	h.commitAll()
 }
@@ -276,26 +315,38 @@
 	h.engine.Place(h.now)
 	for {
 		h.carryOutEffects()
+		if h.holdsCommits && h.heldBatch != nil {
+			return
+		}
 		b := h.engine.TakeBatch(100)
 		if b == nil {
 			return
 		}
-		for _, c := range b.Changes() {
-			if c.Delete {
-				delete(h.jobs, c.ID)
-				delete(h.progress, c.ID)
-				continue
-			}
-			if c.Job != nil {
-				h.jobs[c.ID] = proto.CloneOf(c.Job)
-			}
-			h.progress[c.ID] = proto.CloneOf(c.Progress)
+		if h.holdsCommits {
+			h.heldBatch = b
+			return
 		}
-		h.engine.Committed(b, h.now)
+		h.commit(b)
 		h.engine.Place(h.now)
 	}
 }
 
+// commit stores a batch.
+func (h *harness) commit(b *Batch) {
+	for _, c := range b.Changes() {
+		if c.Delete {
+			delete(h.jobs, c.ID)
+			delete(h.progress, c.ID)
+			continue
+		}
+		if c.Job != nil {
+			h.jobs[c.ID] = proto.CloneOf(c.Job)
+		}
+		h.progress[c.ID] = proto.CloneOf(c.Progress)
+	}
+	h.engine.Committed(b, h.now)
+}
+
 // carryOutEffects prints replies and passes orders to the runners.
 func (h *harness) carryOutEffects() {
 	effects := h.engine.TakeEffects()
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -96,7 +96,7 @@
 func New(ctx context.Context, opts Options, queues map[string]engine.Queue) (o *Owner, err error) {
 	o = &Owner{
 		options: opts, fenced: opts.FencedStore, loop: loop.New(), commits: make(chan commitRequest, 1),
-		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), Lease: opts.Lease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
+		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
 		state:  loopState{links: map[string]*link.Link{}, pendingCalls: map[uint64]func(*flowpb.Reply){}},
 	}
 	o.storeCtx, o.abandon = context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -61,8 +61,10 @@
 	cell     string
 	identity Identity
 	epoch    uint64
-	sequence uint64
-	revision uint64
+	// acquiredAt is when the attempt began that proved the acquisition, on the clock.
+	acquiredAt time.Duration
+	sequence   uint64
+	revision   uint64
 }
 
 // Acquire makes the process the owner of a cell, unless the head has changed since the observed
@@ -84,12 +86,17 @@
 		return nil, ErrDeposed
 	}
 	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: head.GetEpoch() + 1, revision: item.Revision()}
-	if _, err = f.commit(ctx, []driver.Put{{Key: OwnerKey(cell), Value: f.ownerRecord(false)}}, nil); err != nil {
+	f.acquiredAt, err = f.commit(ctx, []driver.Put{{Key: OwnerKey(cell), Value: f.ownerRecord(false)}}, nil)
+	if err != nil {
 		return nil, err
 	}
 	return f, nil
 }
 
+// AcquiredAt returns when, on the clock given to Acquire, the attempt began that proved the
+// acquisition. No earlier owner has confirmed its ownership since.
+func (f *FencedStore) AcquiredAt() time.Duration { return f.acquiredAt }
+
 // Epoch returns the epoch under which the cell was acquired.
 func (f *FencedStore) Epoch() uint64 { return f.epoch }
 
