Void acknowledgements for an earlier incarnation of a runner

Cause: a commit that was under way while a runner restarted acknowledged, when it returned, the last end of the earlier incarnation to the new one, which numbers its ends from 1.

Ruled out: the agent, which ignores orders for another incarnation; these named the new one.

Change: a batch holds the incarnation with each acknowledgement. Test: engine/acknowledged-incarnation, in which the job stayed "running" before.

--- a/internal/flow/engine/batch.go
+++ b/internal/flow/engine/batch.go
@@ -31,8 +31,14 @@
 	// runs are the planned runs to send once the batch is durable.
 	runs     []*run
 	outcomes []outcomeUpdate
-	// acknowledged holds, by worker, the number of the last end of a run to acknowledge.
-	acknowledged map[*worker]uint64
+	// acknowledged holds, by worker, the last end of a run to acknowledge.
+	acknowledged map[*worker]acknowledgement
+}
+
+// acknowledgement is the number of an end among those of one incarnation of a runner.
+type acknowledgement struct {
+	number      uint64
+	incarnation *flowpb.Runner
 }
 
 // outcomeUpdate is the outcome of a job that a batch makes durable, and the calls that wait for
@@ -52,7 +58,7 @@
 	if !e.Dirty() {
 		return nil
 	}
-	b := &Batch{acknowledged: map[*worker]uint64{}}
+	b := &Batch{acknowledged: map[*worker]acknowledgement{}}
 	e.batchesInFlight++
 	jobs := e.dirtyJobs[:min(limit, len(e.dirtyJobs))]
 	for _, j := range jobs {
@@ -86,7 +92,7 @@
 		// The effects of all ends processed so far are in this batch or an earlier one.
 		for _, w := range e.workers {
 			if w.processedEnd > w.acknowledgedEnd {
-				b.acknowledged[w] = w.processedEnd
+				b.acknowledged[w] = acknowledgement{number: w.processedEnd, incarnation: w.info}
 			}
 		}
 	}
@@ -109,8 +115,11 @@
 			e.sendStart(r, now.Monotonic)
 		}
 	}
-	for w, n := range b.acknowledged {
-		e.acknowledge(w, n)
+	for w, a := range b.acknowledged {
+		// The ends of the next incarnation are numbered from 1 again.
+		if sameIncarnation(w.info, a.incarnation) {
+			e.acknowledge(w, a.number)
+		}
 	}
 }
 
