Store the open jobs of a cell in a ring of segments

Ruled out: the store's rate (20 commits a second of 3,200 writes), several cells (the queue of commits is the same in each until there are many).

Change: one commit writes the changes of all jobs into one segment, as the tasks that changed; a job is written in full when it is new, when its occurrences change, and before the segment of its last full record is overwritten. The state that clients see stays an item by job, for calls without an owner and for retention. Records by job that earlier versions wrote are loaded and replaced.

--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -15,6 +15,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/engine"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/owner"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
@@ -32,8 +33,6 @@
 	// lateFactor bounds the value of late results: a job that takes more than this many times its
 	// objective earns nothing.
 	lateFactor = 3
-	// maxJobsPerCommit is the number of jobs that one commit holds at most.
-	maxJobsPerCommit = 12
 	// maxValueFactor limits the value of a job that needs more processor time than the mean of its
 	// queue, as a multiple of the value of a mean job.
 	maxValueFactor = 4
@@ -165,7 +164,7 @@
 	}
 	if sm.batch == nil {
 		sm.engine.Place(sm.timestamp())
-		if b := sm.engine.TakeBatch(maxJobsPerCommit); b != nil {
+		if b := sm.engine.TakeBatch(owner.BatchLimits(), nil); b != nil {
 			sm.batch, sm.batchDurableAt = b, sm.now+sm.load.CommitDelay.D()
 		}
 	}
--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -60,6 +60,7 @@
 			return
 		}
 		j.pendingSubmits = append(j.pendingSubmits, call)
+		e.markDirty(j)
 		return
 	}
 	refuse := func(status flowpb.Status, after time.Duration, reason string) {
--- a/internal/flow/engine/batch.go
+++ b/internal/flow/engine/batch.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
@@ -52,38 +54,65 @@
 // Changes returns the changes to store.
 func (b *Batch) Changes() []Change { return b.changes }
 
-// TakeBatch returns the changes that are due to be stored, at most limit of them, or nil if there
-// are none.
-func (e *Engine) TakeBatch(limit int) *Batch {
+// BatchLimits bounds a batch.
+type BatchLimits struct {
+	// Entries is how many entries of a transaction are left for states, deletions and inbox items.
+	Entries int
+	// RecordBytes is the size of records after which no further job is added.
+	RecordBytes int
+}
+
+// TakeBatch returns the changes that are due to be stored, as many as fit, or nil if there are none.
+// The jobs of recordsDue, if they are open, get full records in it.
+func (e *Engine) TakeBatch(limits BatchLimits, recordsDue []string) *Batch {
 	if !e.Dirty() {
 		return nil
 	}
+	due := e.recordsDue(recordsDue)
 	b := &Batch{acknowledged: map[*worker]acknowledgement{}}
 	e.batchesInFlight++
-	jobs := e.dirtyJobs[:min(limit, len(e.dirtyJobs))]
-	for _, j := range jobs {
-		c := Change{ID: j.id(), Progress: j.progress(), InboxItems: j.inboxItems}
-		j.inboxItems = nil
-		if !j.durable {
-			c.Job = j.def
+	entries, bytes := limits.Entries, 0
+	left := e.dirtyJobs[:0:0]
+	for i, j := range e.dirtyJobs {
+		if i >= due && bytes > limits.RecordBytes {
+			left = append(left, e.dirtyJobs[i:]...)
+			break
 		}
-		b.changes = append(b.changes, c)
-		b.outcomes = append(b.outcomes, outcomeUpdate{job: j, outcome: j.outcome, calls: append(j.pendingSubmits, j.pendingCancels...)})
-		j.dirty, j.batched, j.pendingSubmits, j.pendingCancels = false, true, nil, nil
-		j.eachRun(func(r *run) {
-			if r.phase == phasePlanned && !r.batched {
-				r.batched = true
-				b.runs = append(b.runs, r)
+		c := Change{ID: j.id(), SeparateRecord: j.separateRecord}
+		if j.stateDue() || j.separateRecord {
+			c.State = j.summary()
+		}
+		c.InboxItems = j.inboxItems
+		if c.entries() > entries {
+			left = append(left, j)
+			if i >= due && (!j.durable || !j.open()) {
+				continue
 			}
-		})
+			// The progress of its tasks can be stored without the state.
+			c = Change{ID: j.id()}
+		} else {
+			j.dirty = false
+			b.addState(j, &c)
+		}
+		entries -= c.entries()
+		if j.open() || i < due && c.State == nil && j.stateDue() {
+			c.Record = j.takeRecord()
+			bytes += proto.Size(c.Record)
+		}
+		if c.Record != nil || c.entries() > 0 {
+			b.changes = append(b.changes, c)
+		}
+		j.batched = true
+		b.addPlannedRuns(j)
 	}
-	e.dirtyJobs = slices.Clone(e.dirtyJobs[len(jobs):])
-	count := min(limit-len(jobs), len(e.deletedJobs))
+	e.dirtyJobs = left
+	count := min(entries, len(e.deletedJobs))
 	for _, id := range e.deletedJobs[:count] {
 		b.changes = append(b.changes, Change{ID: id, Delete: true})
 	}
 	e.deletedJobs = slices.Clone(e.deletedJobs[count:])
-	count = min(limit-len(b.changes), len(e.staleInboxItems))
+	entries -= count
+	count = min(entries, len(e.staleInboxItems))
 	for _, name := range e.staleInboxItems[:count] {
 		b.changes = append(b.changes, Change{InboxItems: []string{name}})
 	}
@@ -99,6 +128,42 @@
 	return b
 }
 
+// recordsDue moves the jobs with the given ids, which need full records, to the front of the dirty
+// jobs. It returns how many there are.
+func (e *Engine) recordsDue(ids []string) int {
+	var due []*job
+	for _, id := range ids {
+		if j := e.jobs[id]; j != nil {
+			j.recordDue, j.dirty = true, true
+			due = append(due, j)
+		}
+	}
+	if len(due) > 0 {
+		rest := slices.DeleteFunc(e.dirtyJobs, func(j *job) bool { return slices.Contains(due, j) })
+		e.dirtyJobs = append(due, rest...)
+	}
+	return len(due)
+}
+
+// addState adds what follows once the state of a job in the change is durable.
+func (b *Batch) addState(j *job, c *Change) {
+	if c.State != nil {
+		j.storedState = stateOf(c.State)
+	}
+	b.outcomes = append(b.outcomes, outcomeUpdate{job: j, outcome: j.outcome, calls: append(j.pendingSubmits, j.pendingCancels...)})
+	j.pendingSubmits, j.pendingCancels, j.inboxItems, j.separateRecord = nil, nil, nil, false
+}
+
+// addPlannedRuns adds the planned runs of a job whose record is in the batch.
+func (b *Batch) addPlannedRuns(j *job) {
+	j.eachRun(func(r *run) {
+		if r.phase == phasePlanned && !r.batched {
+			r.batched = true
+			b.runs = append(b.runs, r)
+		}
+	})
+}
+
 // Committed applies the effects of a batch that has been stored: it answers calls, sends starts
 // and acknowledges ends.
 func (e *Engine) Committed(b *Batch, now Timestamp) {
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -90,9 +90,27 @@
 	}
 }
 
-// Restore adds a stored job. Its assigned runs are assumed to be live until the runner reports
+// RestoreEnded adds a stored job that has ended. separateRecord is set if it is stored in records of
+// its own, which are to be replaced.
+func (e *Engine) RestoreEnded(id string, state *flowpb.Progress, separateRecord bool) {
+	j := &job{def: &flowpb.Job{Id: id}, outcome: state.GetOutcome(), durableOutcome: state.GetOutcome(), endedUnixMillis: state.GetEndedUnixMillis(), durable: true, batched: true, begun: state.GetBegun(), storedState: stateOf(state)}
+	e.jobs[id] = j
+	if separateRecord {
+		e.replaceSeparateRecord(j)
+	}
+}
+
+// replaceSeparateRecord has the next batch replace the records that a job has by itself.
+func (e *Engine) replaceSeparateRecord(j *job) {
+	j.separateRecord, j.recordDue = true, true
+	e.markDirty(j)
+}
+
+// Restore adds a stored job that is open, with its stored progress and state. The state may be older.
+// separateRecord is set if the job is stored in records of its own, which are to be replaced. Its
+// assigned runs are assumed to be live until the runner reports
 // otherwise, or until the longest lease that an earlier owner may have granted has expired.
-func (e *Engine) Restore(def *flowpb.Job, p *flowpb.Progress, now Timestamp) error {
+func (e *Engine) Restore(def *flowpb.Job, p, state *flowpb.Progress, separateRecord bool, now Timestamp) error {
 	if def.GetTerms() == nil {
 		def.Terms = &flowpb.Terms{}
 	}
@@ -106,10 +124,14 @@
 		return err
 	}
 	j.arrivedAt = now.Monotonic - time.Duration(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))*time.Millisecond
+	j.storedState = stateOf(state)
 	e.jobs[j.id()] = j
 	if j.open() {
 		e.openJobs[j.id()] = j
 	}
+	if separateRecord {
+		e.replaceSeparateRecord(j)
+	}
 	e.placementDue = true
 	return nil
 }
--- a/internal/flow/engine/job.go
+++ b/internal/flow/engine/job.go
@@ -120,7 +120,7 @@
 
 // progress returns the durable state of the job.
 func (j *job) progress() *flowpb.Progress {
-	p := &flowpb.Progress{Outcome: j.outcome, EndedUnixMillis: j.endedUnixMillis, Begun: j.begun}
+	p := j.summary()
 	if !j.open() {
 		return p
 	}
@@ -138,8 +138,10 @@
 	return p
 }
 
+// progress returns the durable state of the task, which it takes for recorded.
 func (t *task) progress() *flowpb.TaskProgress {
 	p := &flowpb.TaskProgress{Done: t.done, Run: t.lastRun, Failures: t.failures}
+	t.recorded = p
 	if t.done {
 		return p
 	}
@@ -150,6 +152,27 @@
 	return p
 }
 
+// changed reports whether the task differs from what was last recorded of it.
+func (t *task) changed() bool {
+	p := t.recorded
+	if p == nil || t.done != p.GetDone() || t.lastRun != p.GetRun() || t.failures != p.GetFailures() {
+		return true
+	}
+	if t.done {
+		return false
+	}
+	if t.checkpoint != p.GetCheckpoint() || len(t.runs) != len(p.GetAssignments()) {
+		return true
+	}
+	for i, a := range p.GetAssignments() {
+		r := t.runs[i]
+		if r.number != a.GetRun() || r.worker.node != a.GetNode() || r.incarnation.GetId() != a.GetRunner() || r.incarnation.GetBorn() != a.GetBorn() {
+			return true
+		}
+	}
+	return false
+}
+
 // restore rebuilds a job from its stored records, and calls assign for each assignment of a run.
 func restore(def *flowpb.Job, p *flowpb.Progress, now time.Duration, assign func(*task, *flowpb.Assignment)) (j *job, err error) {
 	if err = Validate(def); err != nil {
@@ -163,6 +186,7 @@
 		}
 		o.advance(now)
 		j.occurrences = append(j.occurrences, o)
+		j.recordedDone = append(j.recordedDone, record.GetDone())
 		j.nextOccurrence = max(j.nextOccurrence, o.number+1)
 	}
 	return j, nil
@@ -182,6 +206,7 @@
 			}
 			p := records[0]
 			records = records[1:]
+			t.recorded = p
 			t.lastRun, t.failures, t.checkpoint = p.GetRun(), p.GetFailures(), p.GetCheckpoint()
 			if p.GetDone() {
 				t.done = true
@@ -196,14 +221,71 @@
 	return nil
 }
 
-// Change is a durable change of one job. Job is nil unless the job is new, and Progress is nil
-// unless it changed.
+// Change is a durable change of one job.
 type Change struct {
-	ID       string
-	Job      *flowpb.Job
-	Progress *flowpb.Progress
-	// Delete is set if the job's records are to be deleted.
+	ID string
+	// Record is nil if the progress of the tasks has not changed, or need not be stored any more.
+	Record *flowpb.JobRecord
+	// State is the job's progress without its tasks. It is nil if it has not changed.
+	State *flowpb.Progress
+	// Delete is set if the job's state is to be deleted.
 	Delete bool
 	// InboxItems are items of the cell's write-ahead inbox to delete together with this change.
 	InboxItems []string
+	// SeparateRecord is set if the job is stored in records of its own, as earlier versions did, which
+	// this change replaces.
+	SeparateRecord bool
+}
+
+// entries returns how many entries of a transaction the change takes apart from its record, which
+// shares an entry with those of other jobs.
+func (c *Change) entries() int {
+	n := len(c.InboxItems)
+	if c.State != nil || c.Delete {
+		n++
+	}
+	if c.SeparateRecord {
+		n += 2
+	}
+	return n
+}
+
+// summary returns the durable state of the job without its tasks.
+func (j *job) summary() *flowpb.Progress {
+	return &flowpb.Progress{Outcome: j.outcome, EndedUnixMillis: j.endedUnixMillis, Begun: j.begun}
+}
+
+// takeRecord returns a record of what has changed since the last one, or nil if nothing has.
+func (j *job) takeRecord() *flowpb.JobRecord {
+	r := &flowpb.JobRecord{Id: j.id()}
+	full := j.recordDue || len(j.recordedDone) != len(j.occurrences)
+	for i, o := range j.occurrences {
+		full = full || j.recordedDone[i] != o.done
+	}
+	if full {
+		j.recordDue, j.recordedDone = false, nil
+		for _, o := range j.occurrences {
+			j.recordedDone = append(j.recordedDone, o.done)
+		}
+		r.Job, r.Progress = j.def, j.progress()
+		return r
+	}
+	for _, o := range j.occurrences {
+		if o.done {
+			continue
+		}
+		index := uint32(0)
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.changed() {
+					r.Tasks = append(r.Tasks, &flowpb.TaskChange{Occurrence: uint32(o.number), Task: index, Progress: t.progress()})
+				}
+				index++
+			}
+		}
+	}
+	if len(r.Tasks) == 0 {
+		return nil
+	}
+	return r
 }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -70,6 +70,29 @@
 	pendingCancels []uint64
 	// inboxItems are items of the cell's write-ahead inbox to remove with the next commit.
 	inboxItems []string
+	// storedState is the state in the last batch, or nil if the job was in none.
+	storedState *storedState
+	// recordDue is set if the next record must be a full one. recordedDone tells which occurrences the
+	// last full record showed as done.
+	recordDue    bool
+	recordedDone []bool
+	// separateRecord is set if the job was loaded from records of its own.
+	separateRecord bool
+}
+
+// storedState is the part of a job's state that is stored for each job by itself.
+type storedState struct {
+	outcome flowpb.Outcome
+	begun   bool
+}
+
+func stateOf(p *flowpb.Progress) *storedState {
+	return &storedState{outcome: p.GetOutcome(), begun: p.GetBegun()}
+}
+
+// stateDue reports whether the state differs from the one in the last batch.
+func (j *job) stateDue() bool {
+	return j.storedState == nil || *j.storedState != storedState{outcome: j.outcome, begun: j.begun}
 }
 
 func (j *job) id() string { return j.def.GetId() }
@@ -156,6 +179,8 @@
 	failures   uint32
 	checkpoint string
 	runs       []*run
+	// recorded is the progress in the last record of the task.
+	recorded *flowpb.TaskProgress
 	// notBefore is the earliest time of the next start, so that a task that fails at once is
 	// not restarted in a tight loop.
 	notBefore    time.Duration
--- a/internal/flow/engine/takeover_test.go
+++ b/internal/flow/engine/takeover_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/joblog"
 )
 
 const (
@@ -92,8 +92,7 @@
 	now time.Duration
 	// head is the epoch and the sequence number of the last commit in the store.
 	head      [2]uint64
-	jobs      map[string]*flowpb.Job
-	progress  map[string]*flowpb.Progress
+	store     *testStore
 	owners    []*modelOwner
 	runners   []*modelRunner
 	submitted int
@@ -108,6 +107,7 @@
 	// the commit under way.
 	head         [2]uint64
 	proposedHead [2]uint64
+	ring         *joblog.Ring
 	batch        *Batch
 	// committing is set while a commit is under way. It is repeated until its result is known.
 	committing bool
@@ -158,7 +158,7 @@
 }
 
 func newModel(t *rapid.T) *model {
-	m := &model{t: t, now: time.Hour, jobs: map[string]*flowpb.Job{}, progress: map[string]*flowpb.Progress{}, completed: map[string]bool{}}
+	m := &model{t: t, now: time.Hour, store: newTestStore(), completed: map[string]bool{}}
 	for i := range modelRunners {
 		m.runners = append(m.runners, &modelRunner{node: fmt.Sprintf("n%d", i), startedMillis: 1, knownStartedMillis: 1, reportSentAt: map[uint64]time.Duration{}, running: map[string]uint32{}, highestEndedRun: map[string]uint32{}})
 	}
@@ -186,10 +186,9 @@
 	o := &modelOwner{head: m.head, sessions: map[*modelRunner]bool{}}
 	o.engine = New(Options{Epoch: m.head[0], AcquiredAt: m.now, Lease: modelLease, Retention: time.Hour, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	o.engine.Configure(map[string]Queue{testQueue.Name: testQueue})
-	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
-		if err := o.engine.Restore(proto.CloneOf(m.jobs[id]), proto.CloneOf(m.progress[id]), m.timestamp()); err != nil {
-			m.t.Fatal(err)
-		}
+	var err error
+	if o.ring, err = m.store.restore(o.engine, m.timestamp()); err != nil {
+		m.t.Fatal(err)
 	}
 	m.owners = append(m.owners, o)
 }
@@ -202,10 +201,10 @@
 }
 
 func (m *model) cancel(o *modelOwner, t *rapid.T) {
-	if len(m.jobs) == 0 {
+	if len(m.store.states) == 0 {
 		return
 	}
-	o.engine.Cancel(0, rapid.SampledFrom(slices.Sorted(maps.Keys(m.jobs))).Draw(t, "job"), m.timestamp())
+	o.engine.Cancel(0, rapid.SampledFrom(slices.Sorted(maps.Keys(m.store.states))).Draw(t, "job"), m.timestamp())
 	m.afterEvent(o)
 }
 
@@ -213,7 +212,7 @@
 func (m *model) afterEvent(o *modelOwner) {
 	if !o.committing {
 		o.engine.Place(m.timestamp())
-		if o.batch = o.engine.TakeBatch(100); o.batch != nil {
+		if o.batch = o.engine.TakeBatch(testLimits, o.ring.RecordsDue()); o.batch != nil {
 			m.beginCommit(o)
 		}
 	}
@@ -247,7 +246,7 @@
 		return
 	}
 	if !stored {
-		m.store(o)
+		m.write(o)
 	}
 	if result == resultUnanswered {
 		return
@@ -256,23 +255,17 @@
 	o.engine.SetGrantUntil(m.now + modelLease)
 	if b := o.batch; b != nil {
 		o.batch = nil
+		m.store.written(b.Changes(), o.ring)
 		o.engine.Committed(b, m.timestamp())
 	}
 	m.afterEvent(o)
 }
 
-func (m *model) store(o *modelOwner) {
+// write stores the commit under way.
+func (m *model) write(o *modelOwner) {
 	m.head = o.proposedHead
-	if o.batch == nil {
-		return
-	}
-	for _, c := range o.batch.Changes() {
-		if c.Job != nil {
-			m.jobs[c.ID] = proto.CloneOf(c.Job)
-		}
-		if c.Progress != nil {
-			m.progress[c.ID] = proto.CloneOf(c.Progress)
-		}
+	if o.batch != nil {
+		m.store.write(o.batch.Changes(), o.ring)
 	}
 }
 
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/joblog"
 )
 
 // testQueue is the default queue of the jobs in the scripts.
@@ -26,8 +27,8 @@
 	engine   *Engine
 	epoch    uint64
 	now      Timestamp
-	jobs     map[string]*flowpb.Job
-	progress map[string]*flowpb.Progress
+	store    *testStore
+	ring     *joblog.Ring
 	runners  map[string]*fakeRunner
 	lastCall uint64
 	// holdsCommits is set while a commit gets no answer, heldBatch is its content.
@@ -52,7 +53,7 @@
 // TestEngine runs the scripts in testdata/engine.
 func TestEngine(t *testing.T) {
 	datadriven.Walk(t, "testdata/engine", func(t *testing.T, path string) {
-		h := &harness{t: t, now: Timestamp{Monotonic: time.Hour, UnixMillis: 1_000_000}, jobs: map[string]*flowpb.Job{}, progress: map[string]*flowpb.Progress{}, runners: map[string]*fakeRunner{}}
+		h := &harness{t: t, now: Timestamp{Monotonic: time.Hour, UnixMillis: 1_000_000}, store: newTestStore(), runners: map[string]*fakeRunner{}}
 		h.restart(0)
 		h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -72,10 +73,9 @@
 func (h *harness) restart(ago time.Duration) {
 	h.epoch++
 	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
-	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
-		if err := h.engine.Restore(proto.CloneOf(h.jobs[id]), h.progress[id], h.now); err != nil {
-			h.t.Fatal(err)
-		}
+	var err error
+	if h.ring, err = h.store.restore(h.engine, h.now); err != nil {
+		h.t.Fatal(err)
 	}
 	urgent := testQueue
 	urgent.Name, urgent.Priority = "urgent", 0
@@ -318,7 +318,7 @@
 		if h.holdsCommits && h.heldBatch != nil {
 			return
 		}
-		b := h.engine.TakeBatch(100)
+		b := h.engine.TakeBatch(testLimits, h.ring.RecordsDue())
 		if b == nil {
 			return
 		}
@@ -333,17 +333,8 @@
 
 // commit stores a batch.
 func (h *harness) commit(b *Batch) {
-	for _, c := range b.Changes() {
-		if c.Delete {
-			delete(h.jobs, c.ID)
-			delete(h.progress, c.ID)
-			continue
-		}
-		if c.Job != nil {
-			h.jobs[c.ID] = proto.CloneOf(c.Job)
-		}
-		h.progress[c.ID] = proto.CloneOf(c.Progress)
-	}
+	h.store.write(b.Changes(), h.ring)
+	h.store.written(b.Changes(), h.ring)
 	h.engine.Committed(b, h.now)
 }
 
--- a/internal/flow/entry/call.go
+++ b/internal/flow/entry/call.go
@@ -103,7 +103,7 @@
 		return ok, nil
 	}
 	id := call.GetRead() + call.GetCancel()
-	p, err := owner.ReadProgress(ctx, store, cell, id)
+	p, err := owner.ReadState(ctx, store, cell, id)
 	switch {
 	case errors.Is(err, driver.ErrNotFound):
 		return &flowpb.Reply{Status: flowpb.Status_STATUS_NOT_FOUND}, nil
--- a/internal/flow/owner/inbox.go
+++ b/internal/flow/owner/inbox.go
@@ -74,7 +74,7 @@
 	defer errs.Annotate(&err, "owner: write job %s to the inbox", def.GetId())
 	key := cell + prefixInbox + def.GetId()
 	err = commitUntilDetermined(ctx, store, driver.Txn{
-		Conditions: []driver.Condition{{Key: cell + prefixJob + def.GetId()}, {Key: key}},
+		Conditions: []driver.Condition{{Key: cell + prefixState + def.GetId()}, {Key: cell + prefixSeparateJob + def.GetId()}, {Key: key}},
 		Puts:       []driver.Put{{Key: key, Value: marshal(&flowpb.Handed{Job: def})}},
 	})
 	if errors.Is(err, driver.ErrConflict) {
@@ -114,21 +114,31 @@
 	return err
 }
 
-// ReadProgress returns the stored progress of a job, or ErrNotFound if the store does not hold the
-// job. A job that waits in the inbox has made no progress.
-func ReadProgress(ctx context.Context, store driver.TxnStore, cell, id string) (p *flowpb.Progress, err error) {
+// ReadState returns the stored state of a job, without its tasks, or ErrNotFound if the store does not
+// hold the job. A job that waits in the inbox has made no progress.
+func ReadState(ctx context.Context, store driver.TxnStore, cell, id string) (p *flowpb.Progress, err error) {
 	defer errs.Annotate(&err, "owner: read job %s", id)
 	p = &flowpb.Progress{}
-	item, err := store.Get(ctx, cell+prefixProgress+id)
+	item, err := readState(ctx, store, cell, id)
 	if errors.Is(err, driver.ErrNotFound) {
 		if _, err = store.Get(ctx, cell+prefixInbox+id); !errors.Is(err, driver.ErrNotFound) {
 			return p, err
 		}
 		// The owner may have moved the job out of the inbox between the two reads.
-		item, err = store.Get(ctx, cell+prefixProgress+id)
+		item, err = readState(ctx, store, cell, id)
 	}
 	if err != nil {
 		return nil, err
 	}
 	return p, proto.Unmarshal(item.Value(), p)
 }
+
+// readState reads the item with the state of a job. The progress that earlier versions stored
+// includes the state.
+func readState(ctx context.Context, store driver.TxnStore, cell, id string) (driver.Item, error) {
+	item, err := store.Get(ctx, cell+prefixState+id)
+	if errors.Is(err, driver.ErrNotFound) {
+		return store.Get(ctx, cell+prefixSeparateProgress+id)
+	}
+	return item, err
+}
--- a/internal/flow/owner/inbox_test.go
+++ b/internal/flow/owner/inbox_test.go
@@ -11,7 +11,7 @@
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
-// movingStore holds a job in the inbox until its progress is first read. Right after that read the
+// movingStore holds a job in the inbox until its state is first read. Right after that read the
 // owner moves the job out of the inbox.
 type movingStore struct {
 	driver.TxnStore
@@ -20,7 +20,7 @@
 
 func (s *movingStore) Get(_ context.Context, key string) (driver.Item, error) {
 	value, exists := s.items[key]
-	if strings.Contains(key, prefixProgress) && !exists {
+	if strings.Contains(key, prefixState) && !exists {
 		s.items = map[string][]byte{key: marshal(&flowpb.Progress{Begun: true})}
 	}
 	if !exists {
@@ -48,15 +48,16 @@
 	is := is.New(t)
 	bad := []byte{0xff, 0xff}
 	s := &listOnlyStore{items: map[string][]byte{
-		"c" + prefixJob + "a": marshal(&flowpb.Job{Id: "a"}), "c" + prefixProgress + "a": marshal(&flowpb.Progress{Begun: true}),
-		"c" + prefixJob + "b": bad, "c" + prefixProgress + "b": marshal(&flowpb.Progress{}),
-		"c" + prefixJob + "d": marshal(&flowpb.Job{Id: "d"}), "c" + prefixProgress + "d": bad,
-		"c" + prefixInbox + "e": bad, "c" + prefixInbox + "f": marshal(&flowpb.Handed{Cancel: "a"}), "c" + keyLearned: bad,
+		"c" + prefixState + "a": marshal(&flowpb.Progress{Begun: true}), "c" + prefixState + "b": bad,
+		"c" + prefixSegment + "001": marshal(&flowpb.Segment{Sequence: 1, Jobs: []*flowpb.JobRecord{{Id: "a", Job: &flowpb.Job{Id: "a"}, Progress: &flowpb.Progress{Begun: true}}}}),
+		"c" + prefixSegment + "002": bad,
+		"c" + prefixInbox + "e":     bad, "c" + prefixInbox + "f": marshal(&flowpb.Handed{Cancel: "a"}), "c" + keyLearned: bad,
 	}}
 	stored, err := (&FencedStore{store: s, cell: "c"}).Load(context.Background())
 	is.NoErr(err)
-	is.Equal(stored.Jobs["a"].GetId(), "a")
-	is.True(stored.Progress["a"].GetBegun())
+	is.Equal(stored.Open["a"].Job.GetId(), "a")
+	is.True(stored.States["a"].GetBegun())
+	is.True(stored.Open["a"].Progress.GetBegun())
 	is.Equal(stored.Inbox["f"].GetCancel(), "a")
 	is.Equal(len(stored.Unreadable), 4)
 	is.True(stored.Learned != nil)
@@ -68,7 +69,7 @@
 func TestReadWhileTakenIn(t *testing.T) {
 	is := is.New(t)
 	s := &movingStore{items: map[string][]byte{"c" + prefixInbox + "j": marshal(&flowpb.Handed{Job: &flowpb.Job{Id: "j"}})}}
-	p, err := ReadProgress(context.Background(), s, "c", "j")
+	p, err := ReadState(context.Background(), s, "c", "j")
 	is.NoErr(err)
 	is.True(p.GetBegun())
 }
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -114,15 +114,7 @@
 		opts.Log.Error("undecodable cell item skipped", "key", key, "error", err.Error())
 	}
 	o.engine.RestoreLearned(stored.Learned)
-	for id, p := range stored.Progress {
-		if stored.Jobs[id] == nil {
-			opts.Log.Error("progress without a job skipped", "job", id)
-			continue
-		}
-		if err := o.engine.Restore(stored.Jobs[id], p, o.now()); err != nil {
-			opts.Log.Error("restoring a job failed; job skipped", "job", id, "error", err.Error())
-		}
-	}
+	restore(o.engine, stored, opts.Log, o.now())
 	for _, cancels := range []bool{false, true} {
 		// Jobs are applied before the cancels that refer to them.
 		for name, h := range stored.Inbox {
@@ -138,6 +130,25 @@
 	return o, nil
 }
 
+// restore adds the stored jobs to the engine. A job that can't be restored is left out, so that it
+// does not make the others unavailable.
+func restore(e *engine.Engine, stored *StoredState, log *slog.Logger, now engine.Timestamp) {
+	for id, state := range stored.States {
+		if state.GetOutcome() != flowpb.Outcome_OUTCOME_OPEN {
+			e.RestoreEnded(id, state, stored.SeparateRecords[id])
+			continue
+		}
+		job, found := stored.Open[id]
+		if !found {
+			log.Error("state of a job without its record skipped", "job", id)
+			continue
+		}
+		if err := e.Restore(job.Job, job.Progress, state, stored.SeparateRecords[id], now); err != nil {
+			log.Error("restoring a job failed; job skipped", "job", id, "error", err.Error())
+		}
+	}
+}
+
 // lateFactor is the multiple of its objective, counted from its arrival, after which a job is worth
 // nothing.
 const lateFactor = 3
@@ -264,7 +275,7 @@
 		// Tasks placed during a commit could not start before the next one.
 		o.engine.Place(o.now())
 		now := o.options.Clock()
-		c := commitRequest{batch: o.engine.TakeBatch(MaxCommitJobs)}
+		c := commitRequest{batch: o.engine.TakeBatch(BatchLimits(), o.fenced.RecordsDue())}
 		if now-o.state.lastLearnedCommit > learnedCommitInterval {
 			o.state.lastLearnedCommit = now
 			c.learned = o.engine.Learned()
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,29 +15,47 @@
 	"github.com/jasminebay/jasminebay/internal/errs"
 	"github.com/jasminebay/jasminebay/internal/flow/engine"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/joblog"
 	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/steady"
 )
 
 // Keys of a cell in the key-value store.
 const (
-	keyHead        = "/head"
-	keyOwner       = "/owner"
-	prefixJob      = "/job/"
-	prefixProgress = "/run/"
-	keyLearned     = "/learned"
-	prefixInbox    = "/inbox/"
+	keyHead    = "/head"
+	keyOwner   = "/owner"
+	keyLearned = "/learned"
+	// prefixState is followed by the id of a job. The item holds its state without its tasks.
+	prefixState = "/state/"
+	// prefixSegment is followed by an index in the ring of segments.
+	prefixSegment = "/log/"
+	prefixInbox   = "/inbox/"
+	// prefixSeparateJob and prefixSeparateProgress are those of the records that earlier versions
+	// kept for each job.
+	prefixSeparateJob      = "/job/"
+	prefixSeparateProgress = "/run/"
 )
 
 const (
-	// MaxCommitJobs is the most jobs that one commit holds. Of the entries of a transaction, each
-	// job takes up to three, the head takes two and the learned estimates take one.
-	MaxCommitJobs = (driver.TxnMaxEntries - 3) / 3
+	// ringLength is the number of segments. Each open job is written in full once in as many commits,
+	// and a takeover reads them all.
+	ringLength = 128
+	// commitEntries is how many entries of a transaction are left beside the head, which takes two,
+	// the learned estimates and the segment.
+	commitEntries = driver.TxnMaxEntries - 4
+	// maxRecordBytes keeps a segment well below the size of a value, and its write short on a slow
+	// link.
+	maxRecordBytes = 128 << 10
 	// commitTimeout bounds one attempt to commit. A slow store answers in 0.4 s.
 	commitTimeout    = time.Second
 	commitRetryPause = 60 * time.Millisecond
 )
 
+// BatchLimits returns the limits of what one commit holds.
+func BatchLimits() engine.BatchLimits {
+	return engine.BatchLimits{Entries: commitEntries, RecordBytes: maxRecordBytes}
+}
+
 // ErrDeposed is returned when another process owns the cell.
 var ErrDeposed = errors.New("owner: another process owns the cell")
 
@@ -65,6 +85,7 @@
 	acquiredAt time.Duration
 	sequence   uint64
 	revision   uint64
+	ring       *joblog.Ring
 }
 
 // Acquire makes the process the owner of a cell, unless the head has changed since the observed
@@ -85,7 +106,7 @@
 	if item.Revision() != observed {
 		return nil, ErrDeposed
 	}
-	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: head.GetEpoch() + 1, revision: item.Revision()}
+	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: head.GetEpoch() + 1, revision: item.Revision(), ring: joblog.NewRing(ringLength)}
 	f.acquiredAt, err = f.commit(ctx, []driver.Put{{Key: OwnerKey(cell), Value: f.ownerRecord(false)}}, nil)
 	if err != nil {
 		return nil, err
@@ -115,17 +136,25 @@
 
 // StoredState is the durable state of a cell.
 type StoredState struct {
-	Jobs     map[string]*flowpb.Job
-	Progress map[string]*flowpb.Progress
-	Learned  *flowpb.Learned
-	Inbox    map[string]*flowpb.Handed
+	// States holds the state of each job by its id, Open the open jobs.
+	States map[string]*flowpb.Progress
+	Open   map[string]joblog.Stored
+	// SeparateRecords holds the ids of the jobs that are stored in records of their own.
+	SeparateRecords map[string]bool
+	Learned         *flowpb.Learned
+	Inbox           map[string]*flowpb.Handed
 	// Unreadable holds the keys of the items that could not be decoded, with the errors.
 	Unreadable map[string]error
 	// Revision is the store revision from which the inbox is followed.
 	Revision uint64
+	segments map[string]*flowpb.Segment
+	// separateJobs and separateProgress hold the records that earlier versions kept for each job.
+	separateJobs     map[string]*flowpb.Job
+	separateProgress map[string]*flowpb.Progress
 }
 
 // Load reads the durable state of the cell. Items that can't be decoded are listed in Unreadable.
+// It must be called before the first Commit.
 func (f *FencedStore) Load(ctx context.Context) (s *StoredState, err error) {
 	defer errs.Annotate(&err, "owner: load cell %s", f.cell)
 	items, revision, err := f.store.List(ctx, f.cell+"/")
@@ -133,17 +162,40 @@
 		return nil, err
 	}
 	s = &StoredState{
-		Revision: revision, Inbox: map[string]*flowpb.Handed{}, Jobs: map[string]*flowpb.Job{}, Progress: map[string]*flowpb.Progress{},
-		Learned: &flowpb.Learned{}, Unreadable: map[string]error{},
+		Revision: revision, Inbox: map[string]*flowpb.Handed{}, States: map[string]*flowpb.Progress{}, SeparateRecords: map[string]bool{},
+		Learned: &flowpb.Learned{}, Unreadable: map[string]error{}, segments: map[string]*flowpb.Segment{},
+		separateJobs: map[string]*flowpb.Job{}, separateProgress: map[string]*flowpb.Progress{},
 	}
 	for _, item := range items {
 		if err := s.decodeItem(strings.TrimPrefix(item.Key(), f.cell), item.Value()); err != nil {
 			s.Unreadable[item.Key()] = err
 		}
 	}
+	s.Open, f.ring = joblog.Read(slices.Collect(maps.Values(s.segments)), ringLength)
+	for id := range s.Open {
+		if s.States[id] == nil || s.States[id].GetOutcome() != flowpb.Outcome_OUTCOME_OPEN {
+			delete(s.Open, id)
+			f.ring.Remove(id)
+		}
+	}
+	s.addSeparateRecords()
 	return s, nil
 }
 
+// addSeparateRecords adds the jobs that earlier versions stored in records of their own.
+func (s *StoredState) addSeparateRecords() {
+	for id, p := range s.separateProgress {
+		def := s.separateJobs[id]
+		if def == nil || s.States[id] != nil {
+			continue
+		}
+		s.States[id], s.SeparateRecords[id] = p, true
+		if p.GetOutcome() == flowpb.Outcome_OUTCOME_OPEN {
+			s.Open[id] = joblog.Stored{Job: def, Progress: p}
+		}
+	}
+}
+
 // decodeItem decodes one item. An item that can't be decoded is left out, so that it does not make
 // the others unavailable.
 func (s *StoredState) decodeItem(key string, value []byte) error {
@@ -156,10 +208,14 @@
 		s.Learned = learned
 	case strings.HasPrefix(key, prefixInbox):
 		return decodeInto(s.Inbox, strings.TrimPrefix(key, prefixInbox), value, &flowpb.Handed{})
-	case strings.HasPrefix(key, prefixJob):
-		return decodeInto(s.Jobs, strings.TrimPrefix(key, prefixJob), value, &flowpb.Job{})
-	case strings.HasPrefix(key, prefixProgress):
-		return decodeInto(s.Progress, strings.TrimPrefix(key, prefixProgress), value, &flowpb.Progress{})
+	case strings.HasPrefix(key, prefixState):
+		return decodeInto(s.States, strings.TrimPrefix(key, prefixState), value, &flowpb.Progress{})
+	case strings.HasPrefix(key, prefixSegment):
+		return decodeInto(s.segments, strings.TrimPrefix(key, prefixSegment), value, &flowpb.Segment{})
+	case strings.HasPrefix(key, prefixSeparateJob):
+		return decodeInto(s.separateJobs, strings.TrimPrefix(key, prefixSeparateJob), value, &flowpb.Job{})
+	case strings.HasPrefix(key, prefixSeparateProgress):
+		return decodeInto(s.separateProgress, strings.TrimPrefix(key, prefixSeparateProgress), value, &flowpb.Progress{})
 	}
 	return nil
 }
@@ -180,23 +236,45 @@
 		puts = append(puts, driver.Put{Key: f.cell + keyLearned, Value: marshal(learned)})
 	}
 	var deletes []string
+	sequence, index := f.ring.Next()
+	segment := &flowpb.Segment{Sequence: sequence}
 	for _, c := range changes {
-		if c.Delete {
-			deletes = append(deletes, f.cell+prefixJob+c.ID, f.cell+prefixProgress+c.ID)
+		switch {
+		case c.Delete:
+			deletes = append(deletes, f.cell+prefixState+c.ID)
+		case c.State != nil:
+			puts = append(puts, driver.Put{Key: f.cell + prefixState + c.ID, Value: marshal(c.State)})
 		}
-		if c.Job != nil {
-			puts = append(puts, driver.Put{Key: f.cell + prefixJob + c.ID, Value: marshal(c.Job)})
+		if c.Record != nil {
+			segment.Jobs = append(segment.Jobs, c.Record)
 		}
-		if c.Progress != nil {
-			puts = append(puts, driver.Put{Key: f.cell + prefixProgress + c.ID, Value: marshal(c.Progress)})
+		if c.SeparateRecord {
+			deletes = append(deletes, f.cell+prefixSeparateJob+c.ID, f.cell+prefixSeparateProgress+c.ID)
 		}
 		for _, name := range c.InboxItems {
 			deletes = append(deletes, f.cell+prefixInbox+name)
 		}
 	}
-	return f.commit(ctx, puts, deletes)
+	if len(segment.GetJobs()) > 0 {
+		puts = append(puts, driver.Put{Key: fmt.Sprintf("%s%s%03d", f.cell, prefixSegment, index), Value: marshal(segment)})
+	}
+	if confirmed, err = f.commit(ctx, puts, deletes); err != nil {
+		return 0, err
+	}
+	if len(segment.GetJobs()) > 0 {
+		f.ring.Written(segment)
+	}
+	for _, c := range changes {
+		if c.State.GetOutcome() != flowpb.Outcome_OUTCOME_OPEN {
+			f.ring.Remove(c.ID)
+		}
+	}
+	return confirmed, nil
 }
 
+// RecordsDue returns the ids of the jobs that need full records in the next commit.
+func (f *FencedStore) RecordsDue() []string { return f.ring.RecordsDue() }
+
 // Release gives up the cell, so that another process can acquire it at once.
 func (f *FencedStore) Release(ctx context.Context) (err error) {
 	_, err = f.commit(ctx, []driver.Put{{Key: OwnerKey(f.cell), Value: f.ownerRecord(true)}}, nil)
