Report only what has changed to the owner of a cell

While an end waited for its commit, each lease woke the poll of the runner, which returned the same end at once, so that an agent and the owner sent each other full reports and leases as fast as the link allowed.

Ruled out: heartbeats of runners, which stay on the VM.

Only a list is answered with a lease.

Tests: the scripts of the engine and of platform/process, the model of takeovers.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -76,7 +76,13 @@
 	// revokedToken is the highest token that a synchronisation has revoked.
 	revokedToken uint64
 	// tokenConfirmed is set when the runner has accepted the token.
-	tokenConfirmed  bool
+	tokenConfirmed bool
+	// reportedRunner is what the last report under the token said of the runner.
+	reportedRunner *flowpb.Runner
+	// reportedEnd is the number of the last end that was reported under the token.
+	reportedEnd uint64
+	// listedAt is when all runs on the runner were last reported.
+	listedAt        time.Duration
 	sequence        uint64
 	reportSentAt    [reportHistory]time.Duration
 	acknowledgedEnd uint64
@@ -251,6 +257,7 @@
 func (a *Agent) requestToken(gone bool) {
 	a.state.revokedToken = max(a.state.revokedToken, a.state.token)
 	a.state.token, a.state.tokenConfirmed, a.state.results = 0, false, nil
+	a.state.reportedRunner, a.state.reportedEnd = nil, 0
 	if a.state.link == nil || a.state.runner == nil {
 		return
 	}
@@ -280,7 +287,10 @@
 	}
 	a.state.sequence++
 	a.state.reportSentAt[a.state.sequence%reportHistory] = a.options.Clock()
-	r.Token, r.Sequence, r.Runner = a.state.token, a.state.sequence, a.state.runner
+	r.Token, r.Sequence = a.state.token, a.state.sequence
+	if !proto.Equal(a.state.reportedRunner, a.state.runner) {
+		r.Runner, a.state.reportedRunner = a.state.runner, a.state.runner
+	}
 	r.Results, a.state.results = a.state.results, nil
 	a.state.link.Send(link.Report(r))
 }
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -19,9 +19,12 @@
 	// reported late by this much.
 	pollSlack      = 150 * time.Millisecond
 	pollRetryPause = 20 * time.Millisecond
-	// acknowledgeWait is how long to wait for the owner to acknowledge ends before they are listed
-	// again.
-	acknowledgeWait = 250 * time.Millisecond
+	// listInterval is the longest time between lists of all runs. The answers to polls in between,
+	// which return early because runs have ended, are reported without those that go on.
+	listInterval = 400 * time.Millisecond
+	// acknowledgeWait is how long to wait for the owner to acknowledge ends before the next poll, which
+	// does not wait for further ends while there are any.
+	acknowledgeWait = 120 * time.Millisecond
 	// goneAfterRefused is how many refused connections in a row show that the runner no longer
 	// runs.
 	goneAfterRefused = 2
@@ -111,12 +114,19 @@
 	a.state.tokenConfirmed = true
 	// The runner no longer carries out starts under earlier tokens.
 	maps.DeleteFunc(a.state.unanswered, func(_ driver.RunID, token uint64) bool { return token < order.Token })
-	message := &flowpb.Report{Listed: true}
+	now := a.options.Clock()
+	message := &flowpb.Report{Listed: newlyConfirmed || now-a.state.listedAt >= listInterval}
+	if message.GetListed() {
+		a.state.listedAt = now
+	}
 	a.state.busy = len(report.Ended) > 0
 	for _, r := range report.Running {
 		// A long-running task reports its tail latency as the gauge, and full progress from its
 		// start on.
 		a.state.busy = a.state.busy || r.Percent < fullPercent
+		if !message.GetListed() {
+			continue
+		}
 		message.Running = append(message.Running, &flowpb.Run{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Gauge: r.Gauge})
 	}
 	for _, e := range report.Ended {
@@ -124,9 +134,15 @@
 			a.state.lastCountedEnd = e.Number
 			a.options.Metrics.RecordEnd(e.Kind.String())
 		}
+		if e.Number <= a.state.reportedEnd && !message.GetListed() {
+			continue
+		}
+		a.state.reportedEnd = max(a.state.reportedEnd, e.Number)
 		message.Ends = append(message.Ends, &flowpb.End{Number: e.Number, Task: e.Task, Run: e.Run, Kind: uint32(e.Kind), Checkpoint: e.Checkpoint})
 	}
-	a.sendReport(message)
+	if message.GetListed() || len(message.GetEnds()) > 0 {
+		a.sendReport(message)
+	}
 	if newlyConfirmed {
 		a.options.Log.Info("runner accepted the token", "runner", id.ID, "token", order.Token, "running", len(report.Running), "ends", len(report.Ended))
 	}
--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -65,11 +65,14 @@
 		e.options.Log.Info("ignoring report under a stale token", "node", node, "token", report.GetToken())
 		return
 	}
-	if w.info.GetDraining() != report.GetRunner().GetDraining() {
-		e.options.Log.Info("runner state changed", "node", node, "runner", report.GetRunner().GetId(), "draining", report.GetRunner().GetDraining())
-		e.placementDue = true
+	if info := report.GetRunner(); info != nil {
+		if w.info.GetDraining() != info.GetDraining() {
+			e.options.Log.Info("runner state changed", "node", node, "runner", info.GetId(), "draining", info.GetDraining())
+			e.placementDue = true
+		}
+		w.info = info
 	}
-	w.reportedAt, w.reportSequence, w.info = now.Monotonic, report.GetSequence(), report.GetRunner()
+	w.reportedAt, w.reportSequence = now.Monotonic, report.GetSequence()
 	for _, result := range report.GetResults() {
 		e.handleStartResult(w, result, now.Monotonic)
 	}
@@ -77,8 +80,11 @@
 		e.reconcile(w, report, now)
 		e.learnInterference(w, now.Monotonic)
 		e.paceWorker(w, now.Monotonic)
+		e.grantLease(w, now.Monotonic)
+	} else if w.synced {
+		e.handleEnds(w, report, now)
+		e.acknowledgeStored(w)
 	}
-	e.grantLease(w, now.Monotonic)
 }
 
 // grantLease grants the runner a lease that counts from when it sent its last report. The lease
@@ -108,12 +114,7 @@
 			e.options.Log.Warn("runner lists a run that is not assigned to it", "node", w.node, "task", id.Task, "run", id.Run)
 		}
 	}
-	for _, end := range report.GetEnds() {
-		if end.GetNumber() > w.processedEnd {
-			w.processedEnd = end.GetNumber()
-			e.handleEnd(w, end, now)
-		}
-	}
+	e.handleEnds(w, report, now)
 	for id := range w.orphanRuns {
 		if !seen[id] {
 			delete(w.orphanRuns, id)
@@ -129,8 +130,23 @@
 		}
 		e.placementDue = true
 	}
+	e.acknowledgeStored(w)
+}
+
+// handleEnds applies the ends in a report that were not applied before.
+func (e *Engine) handleEnds(w *worker, report *flowpb.Report, now Timestamp) {
+	for _, end := range report.GetEnds() {
+		if end.GetNumber() > w.processedEnd {
+			w.processedEnd = end.GetNumber()
+			e.handleEnd(w, end, now)
+		}
+	}
+}
+
+// acknowledgeStored acknowledges the ends of a worker if nothing waits to be stored.
+func (e *Engine) acknowledgeStored(w *worker) {
 	if !e.Dirty() && e.batchesInFlight == 0 {
-		w.acknowledgedEnd = w.processedEnd
+		e.acknowledge(w, w.processedEnd)
 	}
 }
 
