Cache what best-effort tasks can expect on a worker

Cause: each placement round computed for each pending best-effort step and each worker with latency-critical tasks what pace a further task would get, with lists of the tasks on the worker.

Change: the worker keeps the result by image and size of the task, until it lists its runs again or its runs change.

Decisions differ only by what a worker has measured since its last list.

--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -80,6 +80,7 @@
 		e.reconcile(w, report, now)
 		e.learnInterference(w, now.Monotonic)
 		e.paceWorker(w, now.Monotonic)
+		clear(w.colocations)
 		e.grantLease(w, now.Monotonic)
 	} else if w.synced {
 		e.handleEnds(w, report, now)
@@ -217,7 +218,7 @@
 // detach removes a run that has ended or never started. Its task waits for another run unless it
 // is done.
 func (e *Engine) detach(r *run, now time.Duration) {
-	r.worker.runs.remove(r)
+	r.worker.detach(r)
 	t := r.task
 	for i, other := range t.runs {
 		if other == r {
@@ -370,6 +371,7 @@
 	}
 	if r.phase != phaseStopping {
 		r.phase, r.stopReason = phaseStopping, reason
+		clear(r.worker.colocations)
 		e.options.Log.Info("stopping run", "node", r.worker.node, "task", r.task.name(), "run", r.number, "reason", reason)
 	}
 	e.sendStop(r, now)
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -169,7 +169,7 @@
 		for _, call := range append(j.pendingSubmits, j.pendingCancels...) {
 			e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_UNAVAILABLE, RetryAfter: minRetryAfter})
 		}
-		j.eachRun(func(r *run) { r.worker.runs.remove(r) })
+		j.eachRun(func(r *run) { r.worker.detach(r) })
 		delete(e.jobs, j.id())
 		delete(e.openJobs, j.id())
 	}
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -281,6 +281,32 @@
 	return highest
 }
 
+// bestEffortTask is what a task of a best-effort step has in common with others that interfere alike.
+type bestEffortTask struct {
+	image    string
+	milliCPU int64
+}
+
+// colocation is what one more task of a best-effort step can expect beside the tasks on a worker: its
+// pace, in percent, and the largest headroom that it would take from a latency-critical task.
+type colocation struct {
+	pace         int
+	interference float64
+}
+
+// colocation returns what a task of a best-effort step can expect on a worker. It is computed anew
+// once the worker has listed its runs again or has others, since a placement round asks for each
+// pending step and worker.
+func (e *Engine) colocation(w *worker, s *step) colocation {
+	key := bestEffortTask{image: s.def.GetImage(), milliCPU: s.def.GetMilliCpu()}
+	c, cached := w.colocations[key]
+	if !cached {
+		c = colocation{pace: e.expectedPace(w, s), interference: e.maxInterference(w, s)}
+		w.colocations[key] = c
+	}
+	return c
+}
+
 // expectedPace returns the pace, in percent, that one more task of a best-effort step would get on
 // a worker. It uses the forecast headroom, since the task runs for seconds.
 func (e *Engine) expectedPace(w *worker, s *step) int {
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -120,7 +120,7 @@
 			c.feasible = false
 			return
 		}
-		pace = e.expectedPace(c.candidate.worker, s)
+		pace = e.colocation(c.candidate.worker, s).pace
 		c.feasible = pace >= minBestEffortPace || now-s.longestWaitStart() > bestEffortMaxWait
 	}
 	if c.feasible {
@@ -343,7 +343,7 @@
 // cause no interference prefer such workers, which leaves workers without latency-critical tasks to
 // the others.
 func (e *Engine) scoreColocation(w *worker, s *step, pace int) float64 {
-	interference := e.maxInterference(w, s)
+	interference := e.colocation(w, s).interference
 	if pace < fullPace || interference > negligibleInterference {
 		return -weightInterference * (1 + interference - float64(pace)/fullPace)
 	}
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -50,6 +50,9 @@
 	health       health
 	speed        slowdown
 	usage        usageHistory
+	// colocations caches what best-effort tasks can expect on the worker. It is cleared by each list
+	// of runs and by each change of the runs.
+	colocations map[bestEffortTask]colocation
 	// fullUntil is until when the runner gets no new tasks, after it refused one for lack of
 	// resources.
 	fullUntil time.Duration
@@ -57,7 +60,7 @@
 
 // newWorker returns a worker whose runner may hold a lease of an earlier owner until leaseEnd.
 func newWorker(node string, leaseEnd time.Duration) *worker {
-	return &worker{node: node, leaseEnd: leaseEnd, info: &flowpb.Runner{}, runs: runSet{byID: map[driver.RunID]*run{}}, orphanRuns: map[driver.RunID]time.Duration{}}
+	return &worker{node: node, leaseEnd: leaseEnd, info: &flowpb.Runner{}, runs: runSet{byID: map[driver.RunID]*run{}}, orphanRuns: map[driver.RunID]time.Duration{}, colocations: map[bestEffortTask]colocation{}}
 }
 
 func (w *worker) capacity() driver.Resources {
@@ -153,6 +156,13 @@
 func (w *worker) attach(r *run) {
 	r.worker = w
 	w.runs.add(r)
+	clear(w.colocations)
+}
+
+// detach removes a run from the worker.
+func (w *worker) detach(r *run) {
+	w.runs.remove(r)
+	clear(w.colocations)
 }
 
 // leaseExpiry returns when a lease granted now, and every lease granted before for a time that ends
