--- a/internal/flow/engine/decisions_test.go
+++ b/internal/flow/engine/decisions_test.go
@@ -62,6 +62,8 @@
 			v.observe(s.number(d, "ratio", 1))
 		}
 		return fmt.Sprintf("slow=%v\n", v.slow())
+	case "accepts-pace":
+		return fmt.Sprintf("%v\n", acceptsPace(int(s.number(d, "pace", 0)), time.Duration(s.number(d, "waited-ms", 0))*time.Millisecond))
 	case "idle":
 		return s.idle(d)
 	case "serving-seat":
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -243,7 +243,7 @@
 	// at pacedAt.
 	pace    int
 	pacedAt time.Duration
-	// throttledSince is when the pace of a best-effort task last fell below minBestEffortPace.
+	// throttledSince is when the pace of a best-effort task last fell below keepBestEffortPace.
 	throttledSince time.Duration
 	// milliCPU is what the run uses at full pace, also for best-effort tasks, which reserve no
 	// processors.
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -30,8 +30,9 @@
 	// in percent.
 	initialPace = 60
 	maxPaceRise = 30
-	// throttledStopDelay is how long a task may be paced below minBestEffortPace before it is
-	// stopped. A task without checkpoints is only stopped up to throttledStopMaxProgress, in
+	// keepBestEffortPace is the pace, in percent, below which a best-effort task counts as throttled.
+	keepBestEffortPace = 80
+	// throttledStopDelay is how long a task may be throttled before it is stopped. A task without checkpoints is only stopped up to throttledStopMaxProgress, in
 	// percent.
 	throttledStopDelay       = 600 * time.Millisecond
 	throttledStopMaxProgress = 30
@@ -118,13 +119,13 @@
 	}
 }
 
-// stopThrottled stops best-effort tasks that have run below minBestEffortPace for
+// stopThrottled stops best-effort tasks that have run below keepBestEffortPace for
 // throttledStopDelay and lose little work by it. They then wait for a worker where they can run
 // faster, and their resources become free for other tasks.
 func (e *Engine) stopThrottled(w *worker, now time.Duration) {
 	for _, r := range w.runs.list {
 		s := r.task.step
-		if !s.def.GetFills() || r.phase != phaseRunning || r.pace >= minBestEffortPace || now-r.throttledSince < throttledStopDelay {
+		if !s.def.GetFills() || r.phase != phaseRunning || r.pace >= keepBestEffortPace || now-r.throttledSince < throttledStopDelay {
 			continue
 		}
 		if s.def.GetCheckpoints() || r.progressPercent <= throttledStopMaxProgress {
@@ -251,7 +252,7 @@
 			continue
 		}
 		r.pacedAt = now
-		if pace < minBestEffortPace && r.pace >= minBestEffortPace {
+		if pace < keepBestEffortPace && r.pace >= keepBestEffortPace {
 			r.throttledSince = w.reportedAt
 		}
 		r.pace = pace
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -121,7 +121,7 @@
 			return
 		}
 		pace = e.colocation(c.candidate.worker, s).pace
-		c.feasible = pace >= minBestEffortPace || now-s.longestWaitStart() > bestEffortMaxWait
+		c.feasible = acceptsPace(pace, now-s.longestWaitStart())
 	}
 	if c.feasible {
 		c.score = e.score(s, c.candidate, pace)
@@ -262,8 +262,10 @@
 }
 
 const (
-	// minBestEffortPace is the minimum pace, in percent, at which a best-effort task is placed.
-	minBestEffortPace = 50
+	// minBestEffortPace is the minimum pace, in percent, at which a best-effort task is placed. It is
+	// well above keepBestEffortPace, since the pace that a task gets is lower than expected as often as
+	// higher.
+	minBestEffortPace = 90
 	// bestEffortMaxWait is how long a best-effort task waits before it is placed at any pace.
 	bestEffortMaxWait = 6000 * time.Millisecond
 	// negligibleInterference is the reduction of headroom below which a task is treated as causing
@@ -271,6 +273,13 @@
 	negligibleInterference = 0.2
 )
 
+// acceptsPace reports whether a best-effort task is placed where it can expect a pace, in percent,
+// after it has waited. A task that is throttled takes the room of others and slows down
+// latency-critical tasks until it is stopped, so that it rather waits while the fleet is full.
+func acceptsPace(pace int, waited time.Duration) bool {
+	return pace >= minBestEffortPace || waited > bestEffortMaxWait
+}
+
 // longestWaitStart returns when the task that has waited longest began to wait, or -1 if no task of
 // the step waits.
 func (s *step) longestWaitStart() time.Duration {
