--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -3,13 +3,16 @@
 import (
 	"io"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/flow/link"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
 // TestOrdersOfAnEarlierLife checks that orders sent before the runner restarted do not acknowledge
@@ -37,3 +40,120 @@
 	a.applyOrders(l, &flowpb.Orders{Token: 8, Runner: "i-1", Born: 2000, Settled: 4})
 	is.Equal(a.state.token, uint64(0))
 }
+
+// connectedAgent returns an agent with a token and a session, and the owner's end of that session.
+// now is read as the agent's clock.
+func connectedAgent(is *is.I, t *testing.T, now *time.Duration) (*Agent, *link.Link) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan *link.Link, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			close(accepted)
+			return
+		}
+		owner, err := link.Accept(t.Context(), conn)
+		if err != nil {
+			close(accepted)
+			return
+		}
+		owner.Send(link.Welcome(&flowpb.Welcome{}))
+		accepted <- owner
+	}()
+	l, _, err := link.Dial(t.Context(), listener.Addr().String(), &flowpb.Hello{Node: "n"})
+	is.NoErr(err)
+	owner := <-accepted
+	is.True(owner != nil)
+	t.Cleanup(func() { l.Close(); owner.Close(); l.Wait(); owner.Wait() })
+	metrics := telemetry.NewFlow(telemetry.NewMetrics())
+	a := New(Options{Clock: func() time.Duration { return *now }, MaxLease: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Metrics: metrics})
+	a.state.link, a.state.runner, a.state.token, a.state.lastRunnerID = l, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}, 7, "i-1"
+	return a, owner
+}
+
+func receive(is *is.I, l *link.Link) *flowpb.Frame {
+	f, err := l.Receive()
+	is.NoErr(err)
+	return f
+}
+
+// TestReportsChanges checks that an agent reports each end at once and once, the runs in intervals,
+// and the runner when it has changed.
+func TestReportsChanges(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a, owner := connectedAgent(is, t, &now)
+	id := driver.RunnerID{ID: "i-1", StartedMillis: 1000}
+	running := driver.ActiveRun{RunID: driver.RunID{Task: "j.0.0.0", Run: 1}, Percent: 10}
+	ended := func(numbers ...uint64) (ends []driver.EndedRun) {
+		for _, n := range numbers {
+			ends = append(ends, driver.EndedRun{RunID: driver.RunID{Task: "j.0.0.1", Run: uint32(n)}, Number: n, Kind: driver.EndDone})
+		}
+		return ends
+	}
+	poll := func(ends ...uint64) {
+		a.handlePoll(id, driver.HoldRequest{Token: 7}, driver.HoldReport{Runner: id, Running: []driver.ActiveRun{running}, Ended: ended(ends...)}, nil, 0)
+	}
+	poll()
+	r := receive(is, owner).GetReport()
+	is.True(r.GetListed())
+	is.Equal(len(r.GetRunning()), 1)
+	is.Equal(r.GetRunner().GetId(), "i-1")
+
+	now += 10 * time.Millisecond
+	poll(1)
+	poll(1) // not acknowledged yet, and not reported again
+	poll(1, 2)
+	for n := uint64(1); n <= 2; n++ {
+		r = receive(is, owner).GetReport()
+		is.True(!r.GetListed())
+		is.Equal(len(r.GetEnds()), 1)
+		is.Equal(r.GetEnds()[0].GetNumber(), n)
+		is.Equal(len(r.GetRunning()), 0)
+		is.True(r.GetRunner() == nil)
+	}
+
+	now += listInterval
+	poll(1, 2)
+	r = receive(is, owner).GetReport()
+	is.True(r.GetListed())
+	is.Equal(len(r.GetRunning()), 1)
+	is.Equal(len(r.GetEnds()), 2)
+	is.True(r.GetRunner() == nil)
+}
+
+// TestCrashWithStartUnderWay checks what an agent tells the owner about a runner that has restarted
+// under its id while a start was under way: which runs it may yet start, and how long its lease may be.
+func TestCrashWithStartUnderWay(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a, owner := connectedAgent(is, t, &now)
+	id := driver.RunnerID{ID: "i-1", StartedMillis: 1000}
+	a.state.unanswered[driver.RunID{Task: "j.0.0.0", Run: 3}] = 7
+	a.state.acknowledgedEnd = 87
+	order, _, _ := a.nextPoll()
+	is.Equal(order.Acknowledged, uint64(87))
+
+	reborn := driver.RunnerID{ID: "i-1", StartedMillis: 2000}
+	a.handlePoll(id, order, driver.HoldReport{Runner: reborn}, nil, 0)
+	s := receive(is, owner).GetSync()
+	is.Equal(s.GetRunner().GetBorn(), int64(2000))
+	is.Equal(len(s.GetUnanswered()), 1)
+	is.Equal(s.GetUnanswered()[0].GetRun(), uint32(3))
+	is.Equal(s.GetLeaseMillis(), int64(10_000))
+
+	// The new token is above that of the start, which the runner refuses from now on.
+	a.state.token = 8
+	a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
+	is.Equal(len(a.state.unanswered), 0)
+
+	// An acknowledgement is not sent again once the runner has answered it.
+	a.state.acknowledgedEnd = 1
+	order, _, _ = a.nextPoll()
+	is.Equal(order.Acknowledged, uint64(1))
+	a.handlePoll(reborn, order, driver.HoldReport{Runner: reborn}, nil, 0)
+	order, _, _ = a.nextPoll()
+	is.Equal(order.Acknowledged, uint64(0))
+}
