Tell the owner before of a new owner, for those cut off from the store

It answered 503 and 504 for as long as it was cut off; agents in the same place would have lost their runs after a lease, though they and the owner reached each other.

Ruled out: the inbox (it is in the store too), and asking other entries (an entry has no list of them).

Change: a new owner tells the process that its predecessor's record names, and a process that is asked although it does not own the cell answers with the newest record that it knows. A record is taken if its epoch is higher than the known one; what the store says later goes before.

Test: system/store-cut, which answered 504 for 20 s before.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -142,6 +142,7 @@
 	if err != nil || welcome.GetError() != "" {
 		if err == nil {
 			l.Close()
+			a.options.Follower.Learn(welcome.GetOwner())
 		}
 		waitChange(ctx, changed, retryPause)
 		return
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -47,6 +47,9 @@
 	takeoverCooldown = 3 * time.Second
 	// readyGrace is how long an entry without an owner stays ready. A takeover takes about as long.
 	readyGrace = 2 * time.Second
+	// announceAttempts and announcePause bound how a new owner tries to reach the one before.
+	announceAttempts = 10
+	announcePause    = 300 * time.Millisecond
 	// ownerLoadTimeout is how long a new session waits while the cell is being loaded.
 	ownerLoadTimeout = 2 * time.Second
 )
@@ -189,6 +192,10 @@
 	l, welcome, err := link.Dial(ctx, record.GetAddress(), &flowpb.Hello{Node: n.options.Identity.Node, Incarnation: n.options.Identity.Incarnation, Zone: n.options.Zone})
 	if err == nil && welcome.GetError() != "" {
 		l.Close()
+		if welcome.GetOwner().GetEpoch() > record.GetEpoch() {
+			n.options.Follower.Learn(welcome.GetOwner())
+			return ""
+		}
 		return "the owner refused the connection: " + welcome.GetError()
 	}
 	if err != nil {
@@ -301,6 +308,7 @@
 func (n *Node) becomeOwner(ctx context.Context, observed uint64) {
 	n.setTakingOver(true)
 	defer n.setTakingOver(false)
+	before, _, _ := n.options.Follower.Record()
 	acquireCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	fenced, err := owner.Acquire(acquireCtx, n.options.Store, n.options.Clock, n.options.Cell, n.options.Identity, observed)
 	cancel()
@@ -319,7 +327,7 @@
 		release()
 	}
 	n.mu.Unlock()
-	n.runOwner(ownerCtx, fenced)
+	n.runOwner(ownerCtx, fenced, before)
 }
 
 // runMaintenance carries out maintenance while this process owns the cell.
@@ -333,8 +341,29 @@
 	}).Run(ctx)
 }
 
-// runOwner runs the owner of a cell that has been acquired.
-func (n *Node) runOwner(ctx context.Context, fenced *owner.FencedStore) {
+// announce tells the process that owned the cell before of the new owner. Agents and entries that do
+// not reach the store still ask that process, which may not reach the store either.
+func (n *Node) announce(ctx context.Context, before, record *flowpb.Owner) {
+	if before == nil || before.GetAddress() == record.GetAddress() {
+		return
+	}
+	hello := &flowpb.Hello{Node: n.options.Identity.Node, Incarnation: n.options.Identity.Incarnation, Zone: n.options.Zone, Owner: record}
+	for range announceAttempts {
+		l, _, err := link.Dial(ctx, before.GetAddress(), hello)
+		if err == nil {
+			l.Close()
+			l.Wait()
+			return
+		}
+		if ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		loop.Pause(ctx, announcePause)
+	}
+}
+
+// runOwner runs the owner of a cell that has been acquired after the owner before.
+func (n *Node) runOwner(ctx context.Context, fenced *owner.FencedStore, before *flowpb.Owner) {
 	opts := owner.Options{
 		Cell: n.options.Cell, FencedStore: fenced, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease,
 		Retention: n.options.Retention, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
@@ -347,10 +376,12 @@
 	n.setLocalOwner(local)
 	n.options.Metrics.SetOwner(true)
 	watchCtx, stop := context.WithCancel(ctx)
+	announceDone := loop.Go(watchCtx, func(ctx context.Context) { n.announce(ctx, before, fenced.Record()) })
 	watchDone := loop.Go(watchCtx, func(ctx context.Context) { n.watchOwner(ctx, local) })
 	maintenanceDone := loop.Go(watchCtx, func(ctx context.Context) { n.runMaintenance(ctx, local) })
 	err = local.Run(ctx)
 	stop()
+	<-announceDone
 	<-watchDone
 	<-maintenanceDone
 	n.setLocalOwner(nil)
--- a/internal/flow/entry/serve.go
+++ b/internal/flow/entry/serve.go
@@ -124,9 +124,11 @@
 	}
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
+	n.options.Follower.Learn(l.Hello().GetOwner())
 	local := n.awaitOwner(ctx)
 	if local == nil {
-		l.Send(link.Welcome(&flowpb.Welcome{Error: "not the owner"}))
+		known, _, _ := n.options.Follower.Record()
+		l.Send(link.Welcome(&flowpb.Welcome{Error: "not the owner", Owner: known}))
 		select {
 		case <-l.Ended():
 		case <-time.After(link.HelloTimeout):
--- a/internal/flow/locate/locate.go
+++ b/internal/flow/locate/locate.go
@@ -139,6 +139,25 @@
 	return revision, nil
 }
 
+// Learn applies an owner record that another process knows of, unless it is older than the one known
+// here. It finds the owner for a process that does not reach the store.
+func (f *Follower) Learn(record *flowpb.Owner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if record.GetAddress() == "" || record.GetEpoch() <= f.record.GetEpoch() {
+		return
+	}
+	f.set(record)
+	f.options.Log.Info("owner record learned from a peer", "cell", f.options.Cell, "owner", record.GetNode(), "epoch", record.GetEpoch(), "released", record.GetReleased())
+}
+
+// set replaces the record and tells those that wait for a change. The caller holds the lock.
+func (f *Follower) set(record *flowpb.Owner) {
+	f.record, f.known = record, true
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // apply sets the record unless a newer one is known.
 func (f *Follower) apply(item driver.Item) {
 	var record *flowpb.Owner
@@ -154,8 +173,11 @@
 	if f.known && item.Revision() <= f.revision && record != nil {
 		return
 	}
-	f.record, f.known, f.revision = record, true, max(f.revision, item.Revision())
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.revision = max(f.revision, item.Revision())
+	if f.known && record != nil && (proto.Equal(record, f.record) || record.GetEpoch() < f.record.GetEpoch()) {
+		// The record was learned from a peer before.
+		return
+	}
+	f.set(record)
 	f.options.Log.Info("owner record changed", "cell", f.options.Cell, "owner", record.GetNode(), "epoch", record.GetEpoch(), "released", record.GetReleased(), "revision", item.Revision())
 }
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -121,8 +121,15 @@
 // Epoch returns the epoch under which the cell was acquired.
 func (f *FencedStore) Epoch() uint64 { return f.epoch }
 
+// Record returns the owner record of this process.
+func (f *FencedStore) Record() *flowpb.Owner {
+	return &flowpb.Owner{Epoch: f.epoch, Node: f.identity.Node, Incarnation: f.identity.Incarnation, Address: f.identity.Address}
+}
+
 func (f *FencedStore) ownerRecord(released bool) []byte {
-	return marshal(&flowpb.Owner{Epoch: f.epoch, Node: f.identity.Node, Incarnation: f.identity.Incarnation, Address: f.identity.Address, Released: released})
+	record := f.Record()
+	record.Released = released
+	return marshal(record)
 }
 
 func marshal(m proto.Message) []byte {
