--- a/internal/flow/engine/batch.go
+++ b/internal/flow/engine/batch.go
@@ -30,6 +30,8 @@
 // is durable.
 type Batch struct {
 	changes []Change
+	// entriesLeft is how many entries of a transaction the batch may still take.
+	entriesLeft int
 	// runs are the planned runs to send once the batch is durable.
 	runs     []*run
 	outcomes []outcomeUpdate
@@ -69,54 +71,22 @@
 		return nil
 	}
 	due := e.recordsDue(recordsDue)
-	b := &Batch{acknowledged: map[*worker]acknowledgement{}}
+	b := &Batch{entriesLeft: limits.Entries, acknowledged: map[*worker]acknowledgement{}}
 	e.batchesInFlight++
-	entries, bytes := limits.Entries, 0
-	left := e.dirtyJobs[:0:0]
-	for i, j := range e.dirtyJobs {
+	jobs, bytes := e.dirtyJobs, 0
+	e.dirtyJobs = nil
+	for i, j := range jobs {
 		if i >= due && bytes > limits.RecordBytes {
-			left = append(left, e.dirtyJobs[i:]...)
+			e.dirtyJobs = append(e.dirtyJobs, jobs[i:]...)
 			break
 		}
-		c := Change{ID: j.id(), SeparateRecord: j.separateRecord}
-		if j.stateDue() || j.separateRecord {
-			c.State = j.summary()
+		bytes += b.addJob(j, i < due)
+		if j.dirty {
+			e.dirtyJobs = append(e.dirtyJobs, j)
 		}
-		c.InboxItems = j.inboxItems
-		if c.entries() > entries {
-			left = append(left, j)
-			if i >= due && (!j.durable || !j.open()) {
-				continue
-			}
-			// The progress of its tasks can be stored without the state.
-			c = Change{ID: j.id()}
-		} else {
-			j.dirty = false
-			b.addState(j, &c)
-		}
-		entries -= c.entries()
-		if j.open() || i < due && c.State == nil && j.stateDue() {
-			c.Record = j.takeRecord()
-			bytes += proto.Size(c.Record)
-		}
-		if c.Record != nil || c.entries() > 0 {
-			b.changes = append(b.changes, c)
-		}
-		j.batched = true
-		b.addPlannedRuns(j)
-	}
-	e.dirtyJobs = left
-	count := min(entries, len(e.deletedJobs))
-	for _, id := range e.deletedJobs[:count] {
-		b.changes = append(b.changes, Change{ID: id, Delete: true})
-	}
-	e.deletedJobs = slices.Clone(e.deletedJobs[count:])
-	entries -= count
-	count = min(entries, len(e.staleInboxItems))
-	for _, name := range e.staleInboxItems[:count] {
-		b.changes = append(b.changes, Change{InboxItems: []string{name}})
 	}
-	e.staleInboxItems = slices.Clone(e.staleInboxItems[count:])
+	e.deletedJobs = b.addEach(e.deletedJobs, func(id string) Change { return Change{ID: id, Delete: true} })
+	e.staleInboxItems = b.addEach(e.staleInboxItems, func(name string) Change { return Change{InboxItems: []string{name}} })
 	if len(e.dirtyJobs) == 0 {
 		// The effects of all ends processed so far are in this batch or an earlier one.
 		for _, w := range e.workers {
@@ -145,13 +115,54 @@
 	return len(due)
 }
 
-// addState adds what follows once the state of a job in the change is durable.
+// addJob adds the changes of a job and returns the size of its record. The job stays dirty if there is
+// no room for its state. The progress of its tasks can be stored without the state, unless the store
+// does not hold the job yet. recordDue is set if the job's last full record is about to be overwritten.
+func (b *Batch) addJob(j *job, recordDue bool) (recordBytes int) {
+	c := Change{ID: j.id(), InboxItems: j.inboxItems, SeparateRecord: j.separateRecord}
+	if j.stateDue() || j.separateRecord {
+		c.State = j.summary()
+	}
+	if c.entries() <= b.entriesLeft {
+		b.entriesLeft -= c.entries()
+		b.addState(j, &c)
+	} else {
+		c = Change{ID: j.id()}
+	}
+	isStateStored := !j.stateDue()
+	switch {
+	case j.open() && (j.durable || isStateStored), recordDue && !isStateStored:
+		c.Record = j.takeRecord()
+		j.batched = true
+		b.addPlannedRuns(j)
+	case isStateStored:
+		j.batched = true
+	}
+	if c.Record != nil || c.entries() > 0 {
+		b.changes = append(b.changes, c)
+	}
+	return proto.Size(c.Record)
+}
+
+// addEach adds a change of one entry for each item, as many as there is room for, and returns the items
+// that are left.
+func (b *Batch) addEach(items []string, change func(string) Change) (left []string) {
+	count := min(b.entriesLeft, len(items))
+	for _, item := range items[:count] {
+		b.changes = append(b.changes, change(item))
+	}
+	b.entriesLeft -= count
+	return slices.Clone(items[count:])
+}
+
+// addState marks the state of a job as part of the batch, with the calls that are answered once it is
+// durable.
 func (b *Batch) addState(j *job, c *Change) {
 	if c.State != nil {
 		j.storedState = stateOf(c.State)
 	}
 	b.outcomes = append(b.outcomes, outcomeUpdate{job: j, outcome: j.outcome, calls: append(j.pendingSubmits, j.pendingCancels...)})
-	j.pendingSubmits, j.pendingCancels, j.inboxItems, j.separateRecord = nil, nil, nil, false
+	j.dirty, j.pendingSubmits, j.pendingCancels, j.inboxItems, j.separateRecord = false, nil, nil, nil, false
 }
 
 // addPlannedRuns adds the planned runs of a job whose record is in the batch.
