Let a new job wait for the next owner of a cell

A document without cells is refused at once as before.

Test: TestSubmitWaitsForAnOwner, on the paused clock; the one look of before finds no cell in its second case. The entries of the operators' platform do not use this code (internal/flow/entry).

--- a/internal/entry/cells_test.go
+++ b/internal/entry/cells_test.go
@@ -176,6 +176,30 @@
 	}
 }
 
+// TestSubmitWaitsForAnOwner checks that a job which comes while no cell has an owner waits for the next
+// one, for as long as a call may take.
+func TestSubmitWaitsForAnOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{ID: "entry-1", DataCentre: "zuerich-a", Holder: exampleHolder(t), Log: slog.New(slog.DiscardHandler)})
+		for _, each := range []struct {
+			takeover time.Duration
+			want     string
+		}{{0, "zuerich-a.0"}, {3 * time.Second, "zuerich-a.0"}, {time.Minute, ""}} {
+			e.cells.forgetPeer("entry-2")
+			time.AfterFunc(each.takeover, func() {
+				e.cells.recordPeerCells(&peerpb.PeerState{Id: "entry-2", Cells: []*peerpb.CellLoad{{Cell: "zuerich-a.0", Epoch: 2}}})
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), jobCallTimeout)
+			start := time.Now()
+			name := e.awaitCell(ctx, &cellpb.Job{})
+			cancel()
+			if took, most := time.Since(start), min(each.takeover+ownerPollInterval, jobCallTimeout); name != each.want || took > most {
+				t.Errorf("owner after %v: cell %q after %v, want %q within %v", each.takeover, name, took, each.want, most)
+			}
+		}
+	})
+}
+
 // TestUnknownCell checks that a call for a job in a cell that the document does not name fails at
 // once instead of waiting for an owner.
 func TestUnknownCell(t *testing.T) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -22,6 +22,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/errs"
 	"github.com/jasminebay/jasminebay/internal/fence"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	"github.com/jasminebay/jasminebay/internal/problem"
 	"github.com/jasminebay/jasminebay/pkg/client"
@@ -75,7 +76,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Request.Context(), jobCallTimeout)
 	defer cancel()
-	name := e.chooseCell(job)
+	name := e.awaitCell(ctx, job)
 	if name == "" {
 		problem.RetryAfter(w, jobRetryAfter)
 		problem.Send(w, problem.Problem{Type: "no-cell", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "no cell is known that could take the job"})
@@ -105,6 +106,23 @@
 	return job[:max(i, 0)]
 }
 
+// awaitCell returns the cell for a new job. While cells change their owners it waits for one that is
+// known, until ctx ends. It returns "" if there is none by then, or if the document has no cells.
+func (e *Entry) awaitCell(ctx context.Context, job *cellpb.Job) string {
+	for {
+		if name := e.chooseCell(job); name != "" {
+			return name
+		}
+		if d := e.options.Holder.Document(); d != nil && d.TotalCells() == 0 {
+			return ""
+		}
+		loop.Pause(ctx, ownerPollInterval)
+		if ctx.Err() != nil {
+			return ""
+		}
+	}
+}
+
 // chooseCell returns the cell for a new job, or "" if no cell is known. It prefers cells with a
 // worker large enough for the job's largest task, then those of this data centre with enough free
 // CPU for that task, then those with the most free CPU and the fewest waiting tasks.
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -107,9 +107,9 @@
 }
 
 // Restore adds a stored job that is open, with its stored progress and state. The state may be older.
-// separateRecord is set if the job is stored in records of its own, which are to be replaced. Its
-// assigned runs are assumed to be live until the runner reports
-// otherwise, or until the longest lease that an earlier owner may have granted has expired.
+// separateRecord is set if the job is stored in records of its own, which are to be replaced. The
+// job's assigned runs are assumed to be live until the runner reports otherwise, or until the longest
+// lease that an earlier owner may have granted has expired.
 func (e *Engine) Restore(def *flowpb.Job, p, state *flowpb.Progress, separateRecord bool, now Timestamp) error {
 	if def.GetTerms() == nil {
 		def.Terms = &flowpb.Terms{}
--- a/internal/flow/engine/pace.go
+++ b/internal/flow/engine/pace.go
@@ -32,8 +32,8 @@
 	maxPaceRise = 30
 	// keepBestEffortPace is the pace, in percent, below which a best-effort task counts as throttled.
 	keepBestEffortPace = 80
-	// throttledStopDelay is how long a task may be throttled before it is stopped. A task without checkpoints is only stopped up to throttledStopMaxProgress, in
-	// percent.
+	// throttledStopDelay is how long a task may be throttled before it is stopped. A task without
+	// checkpoints is only stopped up to throttledStopMaxProgress, in percent.
 	throttledStopDelay       = 600 * time.Millisecond
 	throttledStopMaxProgress = 30
 	// fullPace is the pace, in percent, of a task that is not throttled.
