Make room for long-running tasks on a full fleet

Gaps between finite tasks were taken by smaller ones, and of 59 runners none had 4,350 thousandths of a processor beside its long-running tasks.

Ruled out: runs that the owner counts and the runner does not have (a trial with debug lines), preemption (the tasks are of the same priority).

Change: a worker on which such a task fits once finite tasks have ended is held for it; if there is none, the smallest long-running task is moved whose worker then has room and which fits elsewhere, within the disruption budget of its step. Preemption no longer chooses workers on which the step may not run.

--- a/internal/flow/engine/evacuate.go
+++ b/internal/flow/engine/evacuate.go
@@ -91,10 +91,5 @@
 	if !s.def.GetLasting() && (needed <= remaining || !s.def.GetCheckpoints() && r.progressPercent > moveMaxProgress) {
 		return false
 	}
-	for _, c := range e.candidates(now) {
-		if c.worker != r.worker && e.feasible(s, c, now) {
-			return true
-		}
-	}
-	return false
+	return e.fitsElsewhere(r, e.candidates(now), now)
 }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -140,6 +140,8 @@
 	approvalRequestedAt time.Duration
 	// preemptedAt is when runs were last preempted to make room for the step.
 	preemptedAt time.Duration
+	// movedForAt is when a task was last moved to make room for the step.
+	movedForAt time.Duration
 	// baseline is the headroom of the step's tasks without best-effort tasks beside them.
 	baseline baseHeadroom
 }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -25,6 +25,8 @@
 	// latencyCritical is set if the worker has a latency-critical task.
 	latencyCritical bool
 	rack            string
+	// heldFor is the long-running step for which the room on the worker is held, or nil.
+	heldFor *step
 }
 
 // Place assigns pending tasks to workers with enough free resources, in the order of the policy.
@@ -81,6 +83,9 @@
 	if noCandidate && (p.Priority == 0 || p.LongRunning) {
 		e.preempt(s, now)
 	}
+	if noCandidate && p.LongRunning {
+		e.holdRoom(s, candidates, now)
+	}
 }
 
 // scoredCandidate is a candidate with its score for the tasks of one step.
@@ -235,11 +240,15 @@
 }
 
 // feasible reports whether a task of the step may run on a candidate and fits in its free
-// resources. It checks the service, the required label, the ticket of the admission service and the
-// limit of tasks per runner.
+// resources, which may be held for another step. Best-effort tasks take nothing that is held.
 func (e *Engine) feasible(s *step, c *candidate, now time.Duration) bool {
-	w := c.worker
-	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) || !s.resources().Fits(c.free) {
+	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now)
+}
+
+// eligible reports whether a task of the step may run on a worker if there is room. It checks the
+// service, the required label, the ticket of the admission service and the limit of tasks per runner.
+func (e *Engine) eligible(s *step, w *worker, now time.Duration) bool {
+	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) {
 		return false
 	}
 	if s.job().queue.Advised {
@@ -386,7 +395,7 @@
 	var victims []*run
 	cost := 0.0
 	for _, w := range e.sortedWorkers() {
-		if !w.schedulable(now) || w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) {
+		if !w.schedulable(now) || !e.eligible(s, w, now) {
 			continue
 		}
 		if v, c := e.victims(w, s, now); v != nil && (victims == nil || c < cost) {
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -77,6 +77,18 @@
 	return free
 }
 
+// finiteReservations returns the resources that become free by themselves as finite tasks end and
+// stops take effect.
+func (w *worker) finiteReservations() driver.Resources {
+	var reserved driver.Resources
+	for _, r := range w.runs.list {
+		if !r.task.step.def.GetLasting() || r.phase == phaseStopping {
+			reserved = reserved.Plus(r.reserved)
+		}
+	}
+	return reserved
+}
+
 const (
 	// latencyCriticalUtilization is the share of its reserved processors that a latency-critical
 	// task is assumed to use, about the mean load of its users. The rest is available to
