Stop entries without cutting the requests that have arrived

Cause: net/http takes a connection for idle until its goroutine has read a request's header.

Change: http1 announces the end with each response from SIGTERM on and closes nothing. At the end of the drain it closes the listener once its queue is empty, and has the reader of each connection find the end of the stream only where nothing has arrived.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -1,17 +1,36 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
+const (
+	// acceptPause is how often a stopping server looks whether connections wait to be accepted.
+	acceptPause = time.Millisecond
+	// firstRequestTimeout is how long a stopping server waits for the first request of a connection. A
+	// client opens one to send a request at once.
+	firstRequestTimeout = 250 * time.Millisecond
+	// answerTimeout is how long handlers may take to answer once their context has ended.
+	answerTimeout = 300 * time.Millisecond
+)
+
+// ErrStopped is the cause with which the contexts of requests end that a stopping server no longer
+// waits for.
+var ErrStopped = errors.New("http1: the server stops")
+
 // Options configures a Server.
 type Options struct {
 	Handler http.Handler
@@ -21,17 +40,32 @@
 	IdleTimeout       time.Duration
 	// MaxHeaderBytes limits the headers of a request. If it is 0, that of net/http applies.
 	MaxHeaderBytes int
-	Log            *slog.Logger
-	Metrics        *telemetry.Connections
+	// Refuse writes the response to a request that is not read, since it was sent while the server closed
+	// its idle connection. It must say that the request was not run.
+	Refuse  func(http.ResponseWriter)
+	Log     *slog.Logger
+	Metrics *telemetry.Connections
 }
 
-// Server serves HTTP/1.1 and tracks the request on each connection. It is safe for concurrent use.
+// Server serves HTTP/1.1 and stops without closing a connection on which a request has arrived. It is
+// safe for concurrent use.
 type Server struct {
 	options Options
 	http    *http.Server
-	mu      sync.Mutex
-	// stopsAt is when the server began to stop, or zero.
-	stopsAt time.Time
+	// refusal is the response that Options.Refuse writes.
+	refusal []byte
+	// requests is the parent of the contexts of all requests.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
+	mu             sync.Mutex
+	conns          map[*conn]struct{}
+	listeners      map[net.Listener]struct{}
+	// changed is closed and replaced when a connection or a listener is removed.
+	changed chan struct{}
+	// announcedAt is when Announce was called, or zero.
+	announcedAt time.Time
+	// ending is set once connections without a request are closed, and closing once all are.
+	ending, closing bool
 }
 
 // connKey is the key of a request's connection in its context.
@@ -39,14 +73,43 @@
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{options: o}
+	s := &Server{options: o, refusal: render(o.Refuse), conns: map[*conn]struct{}{}, listeners: map[net.Listener]struct{}{}, changed: make(chan struct{})}
+	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
-		ConnState: setConnState, ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState:   setConnState,
+		BaseContext: func(net.Listener) context.Context { return s.requests },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return s
 }
 
+// render returns the bytes of the response that refuse writes.
+func render(refuse func(http.ResponseWriter)) []byte {
+	w := recorder{header: http.Header{}}
+	refuse(&w)
+	response := http.Response{StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true, ContentLength: int64(w.body.Len()), Body: io.NopCloser(&w.body)}
+	var raw bytes.Buffer
+	_ = response.Write(&raw)
+	return raw.Bytes()
+}
+
+// recorder is an http.ResponseWriter that keeps the response.
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (w *recorder) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *recorder) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *recorder) Write(p []byte) (int, error) { return w.body.Write(p) }
+
 func setConnState(c net.Conn, to http.ConnState) {
 	if to == http.StateIdle {
 		c.(*conn).setState(stateIdle)
@@ -54,61 +117,200 @@
 }
 
 // Serve accepts connections until the server stops, when it returns nil, or until accepting fails.
-func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(listener{l, s}); !errors.Is(err, http.ErrServerClosed) {
-		return err
+func (s *Server) Serve(l net.Listener) (err error) {
+	defer errs.Annotate(&err, "http1: serve %s", l.Addr())
+	s.mu.Lock()
+	s.listeners[l] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.listeners, l)
+		s.notify()
+	}()
+	err = s.http.Serve(listener{l, s})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.announced() > 0 {
+		return nil
 	}
-	return nil
+	return err
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*conn)
 	c.setState(stateServing)
-	s.options.Handler.ServeHTTP(w, r)
+	response := &responseWriter{ResponseWriter: w, server: s}
+	s.options.Handler.ServeHTTP(response, r)
+	response.announce()
 	c.setState(stateAnswered)
 }
 
-// Announce tells clients with each response that the connection will be closed.
+// Announce tells clients with each response from now on that its connection will be closed, so that
+// they send no other request on it. All requests are still served.
 func (s *Server) Announce() {
 	s.mu.Lock()
-	s.stopsAt = time.Now()
-	s.mu.Unlock()
-	s.http.SetKeepAlivesEnabled(false)
+	defer s.mu.Unlock()
+	if s.announcedAt.IsZero() {
+		s.announcedAt = time.Now()
+	}
 }
 
-// Stop closes the listener and each connection once its request is answered, and closes all others
-// when ctx ends.
+// announced returns how long ago Announce was called, or 0 if it was not.
+func (s *Server) announced() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.announcedAt.IsZero() {
+		return 0
+	}
+	return max(time.Since(s.announcedAt), 1)
+}
+
+// Stop closes the listeners and each connection without a request, and returns once all others are
+// answered. When ctx ends before, it ends the contexts of the requests that are still served, which
+// their handlers answer at once. It returns an error if some of them were not answered even then.
 func (s *Server) Stop(ctx context.Context) (err error) {
-	if err = s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close()
+	defer errs.Annotate(&err, "http1: stop")
+	s.Announce()
+	s.closeListeners(ctx)
+	s.endWaiting()
+	if !s.waitClosed(ctx) {
+		s.cancelRequests(ErrStopped)
+		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancel()
+		if !s.waitClosed(answerCtx) {
+			s.mu.Lock()
+			err = fmt.Errorf("%d connections closed with a request in progress", len(s.conns))
+			s.mu.Unlock()
+		}
 	}
+	s.cancelRequests(ErrStopped)
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	_ = s.http.Close()
 	return err
 }
 
+// closesAll reports whether all connections are closed at once.
+func (s *Server) closesAll() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+// closeListeners closes each listener once no connection waits to be accepted, since those that wait
+// are reset with the requests that they carry.
+func (s *Server) closeListeners(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.listeners {
+		s.mu.Unlock()
+		for readable(l) && ctx.Err() == nil {
+			loop.Pause(ctx, acceptPause)
+		}
+		_ = l.Close()
+		s.mu.Lock()
+	}
+}
+
+// endWaiting closes all connections, present and future, while they wait for a request.
+func (s *Server) endWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	for c := range s.conns {
+		c.end()
+	}
+}
+
+// waitClosed waits until all listeners and connections are closed, and reports false if ctx ends
+// before.
+func (s *Server) waitClosed(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		n, changed := len(s.conns)+len(s.listeners), s.changed
+		s.mu.Unlock()
+		if n == 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	if s.ending {
+		c.end()
+	}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.notify()
+}
+
+// notify wakes waitClosed. The caller holds mu.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // recordClose counts a connection that is closed, and logs a request that is left without an answer.
 func (s *Server) recordClose(c *conn, how closing) {
 	state, by := how.state.String(), "server"
-	if how.arrived {
+	switch {
+	case how.arrived:
 		state = "unread"
+	case how.crossed:
+		state = "crossed"
 	}
 	if how.byClient {
 		by = "client"
 	}
 	s.options.Metrics.RecordClosed(state, by)
-	if !how.cut {
-		return
+	if how.cut {
+		s.options.Log.Warn("connection closed before its request was answered", "client", c.RemoteAddr().String(), "state", state,
+			"read-ms-ago", time.Since(how.lastReadAt).Milliseconds(), "stopping-ms", s.announced().Milliseconds())
 	}
-	s.mu.Lock()
-	stopsAt := s.stopsAt
-	s.mu.Unlock()
-	stopping := int64(0)
-	if !stopsAt.IsZero() {
-		stopping = time.Since(stopsAt).Milliseconds()
+}
+
+// responseWriter announces with the response that the connection will be closed, if the server stops.
+type responseWriter struct {
+	http.ResponseWriter
+	server      *Server
+	wroteHeader bool
+}
+
+func (w *responseWriter) announce() {
+	if !w.wroteHeader && w.server.announced() > 0 {
+		w.Header().Set("Connection", "close")
 	}
-	s.options.Log.Warn("connection closed before its request was answered", "client", c.RemoteAddr().String(), "state", state,
-		"read-ms-ago", time.Since(how.lastReadAt).Milliseconds(), "stopping-ms", stopping)
 }
 
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	w.announce()
+	w.wroteHeader = w.wroteHeader || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.announce()
+	w.wroteHeader = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer to which http.ResponseController passes calls.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // listener tracks the connections that it accepts.
 type listener struct {
 	net.Listener
@@ -117,9 +319,12 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, server: l.server, lastReadAt: time.Now()}, nil
+	now := time.Now()
+	c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
+	l.server.add(c)
+	return c, nil
 }
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -130,7 +130,8 @@
 	}
 	w.server = New(Options{
 		Handler: http.HandlerFunc(w.handle), ReadHeaderTimeout: headerWait, IdleTimeout: answerWait,
-		Log: slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
+		Refuse: func(rw http.ResponseWriter) { rw.WriteHeader(http.StatusServiceUnavailable) },
+		Log:    slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
 	})
 	go func() { w.served <- w.server.Serve(slowListener{l.(*net.TCPListener), w}) }()
 	t.Cleanup(func() {
--- a/internal/telemetry/connections.go
+++ b/internal/telemetry/connections.go
@@ -10,7 +10,7 @@
 // NewConnections returns Connections that are registered in the registry of m.
 func NewConnections(m *Metrics) *Connections {
 	c := &Connections{
-		closed: counter("http_connections_closed_total", "Closed connections from clients, by the state of their request and by who closed them first. Requests in the states unread, reading and serving got no answer from a server that closed them.", "state", "by"),
+		closed: counter("http_connections_closed_total", "Closed connections from clients, by the state of their request and by who closed them first. A request got no answer if the server closed its connection as unread, reading or serving, or if it crossed the close of an idle connection.", "state", "by"),
 	}
 	m.registry.MustRegister(c.closed)
 	return c
