--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -12,9 +12,11 @@
 
 	"github.com/emicklei/go-restful/v3"
 
+	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/problem"
 	"github.com/jasminebay/jasminebay/internal/route"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 	"github.com/jasminebay/jasminebay/pkg/client"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
@@ -32,10 +34,10 @@
 	upstreamPathPrefix     = "/"
 )
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes,
-	}
+// refuse writes the response to a request that was not read.
+func refuse(w http.ResponseWriter) {
+	problem.RetryAfter(w, drainingRetryAfter)
+	problem.Send(w, problem.Problem{Type: "draining", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "the connection was closed before the request came"})
 }
 
 func newContainer(services ...*restful.WebService) *restful.Container {
@@ -53,7 +55,7 @@
 	return c
 }
 
-func (e *Entry) callerServer() *http.Server {
+func (e *Entry) callerServer() *http1.Server {
 	ws := new(restful.WebService)
 	ws.Path("/v1")
 	ws.Route(ws.POST("/services/{service}/requests").To(e.postRequest).Consumes("*/*").Produces("*/*"))
@@ -62,7 +64,10 @@
 	health := new(restful.WebService)
 	health.Path("/")
 	e.addHealthRoutes(health)
-	return newServer(newContainer(ws, health))
+	return http1.New(http1.Options{
+		Handler: newContainer(ws, health), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes,
+		Refuse: refuse, Log: e.log, Metrics: telemetry.NewConnections(e.options.Metrics),
+	})
 }
 
 func (e *Entry) addHealthRoutes(ws *restful.WebService) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,8 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
@@ -144,21 +145,20 @@
 }
 
 // drain waits until the requests in flight are complete, at most for the drain timeout.
-func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+func (e *Entry) drain(ctx context.Context, callers *http1.Server) {
 	start := time.Now()
 	inFlight := e.inFlight.Load()
 	e.draining.Store(true)
+	callers.Announce()
 	e.log.Info("draining", "in-flight", inFlight, "timeout", e.options.DrainTimeout.String())
 	time.Sleep(min(shutdownDelay, e.options.DrainTimeout/4))
 	drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.options.DrainTimeout)
 	defer cancel()
-	if err := callers.Shutdown(drainContext); err != nil {
-		_ = callers.Close()
-	}
+	err := callers.Stop(drainContext)
 	for e.inFlight.Load() > 0 && drainContext.Err() == nil {
 		time.Sleep(pollInterval)
 	}
-	e.log.Info("drained", "in-flight-at-start", inFlight, "cut-off", e.inFlight.Load(), "seconds", time.Since(start).Seconds())
+	e.log.Info("drained", "in-flight-at-start", inFlight, "cut-off", e.inFlight.Load(), "seconds", time.Since(start).Seconds(), "error", errs.Text(err))
 }
 
 // publishPeriodically publishes the routing table at an interval until ctx ends.
@@ -176,7 +176,7 @@
 }
 
 // goServe serves l until the server is closed, and closes the returned channel then.
-func goServe(s *http.Server, l net.Listener) <-chan struct{} {
+func goServe(s interface{ Serve(net.Listener) error }, l net.Listener) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -43,7 +43,7 @@
 	root.Route(root.GET("/metrics").To(func(r *restful.Request, w *restful.Response) {
 		metrics.ServeHTTP(w.ResponseWriter, r.Request)
 	}))
-	return newServer(newContainer(ws, root))
+	return &http.Server{Handler: newContainer(ws, root), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes}
 }
 
 func etag(revision uint64) string { return `"` + strconv.FormatUint(revision, 10) + `"` }
