--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,9 @@
 	// shutdownDelay is how long a draining entry continues to accept connections of callers, so
 	// that load balancers see that it is not ready.
 	shutdownDelay = 500 * time.Millisecond
+	// answerTimeout is how long requests may take to be answered after the drain timeout, without a result.
+	// It covers the time in which an agent confirms that a request was withdrawn.
+	answerTimeout = time.Second
 	// warmUpTimeout bounds how long an entry that knows no upstream reports that it is not
 	// ready. Agents that can reach the entry dial it within that time.
 	warmUpTimeout = 6 * time.Second
@@ -154,7 +157,7 @@
 	time.Sleep(min(shutdownDelay, e.options.DrainTimeout/4))
 	drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.options.DrainTimeout)
 	defer cancel()
-	err := callers.Stop(drainContext)
+	err := callers.Stop(drainContext, answerTimeout)
 	for e.inFlight.Load() > 0 && drainContext.Err() == nil {
 		time.Sleep(pollInterval)
 	}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -33,7 +33,8 @@
 // waiting reports whether no part of a request has been read that is not answered.
 func (s connState) waiting() bool { return s == stateNew || s == stateIdle }
 
-// lingerTimeout is how long a closed connection waits for its client to close it as well.
+// lingerTimeout is how long a connection that is closed with a refusal waits for its client to close it as
+// well.
 const lingerTimeout = 300 * time.Millisecond
 
 // longAgo is a read deadline that wakes a read which waits.
@@ -49,13 +50,15 @@
 	state      connState
 	// deadline is the read deadline that the HTTP server has set.
 	deadline time.Time
-	// ending is set if the connection is to be closed while it waits for a request.
-	ending bool
+	// waitSet is set once the HTTP server has set the read deadline with which it waits for another request.
+	waitSet bool
+	// closesWaiting is set if the connection is to be closed while it waits for a request.
+	closesWaiting bool
 	// lastReadAt is when bytes were last read, or when the connection was accepted.
 	lastReadAt time.Time
-	// ended is set once the client has closed the connection or reading has failed.
-	ended  bool
-	closed bool
+	// peerClosed is set once the client has closed the connection or reading has failed.
+	peerClosed bool
+	closed     bool
 }
 
 // Read implements net.Conn. A read deadline that passes while the connection waits for a request
@@ -65,94 +68,118 @@
 		n, err = c.Conn.Read(p)
 		switch {
 		case n > 0:
-			c.requestReceived()
+			c.received()
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.mu.Lock()
-			c.ended = err != nil
+			c.peerClosed = err != nil
 			c.mu.Unlock()
-		case c.requestArrived():
+		case c.extendDeadline():
 			continue
-		case c.endsNow():
+		case c.isToClose():
 			return 0, io.EOF
 		}
 		return n, err
 	}
 }
 
-// requestReceived records that bytes of a request were read.
-func (c *conn) requestReceived() {
+// received records that bytes of a request were read.
+func (c *conn) received() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReadAt = time.Now()
 	if c.state.waiting() {
-		c.startRequest(stateReading)
+		c.leaveWaiting(stateReading)
 	}
 }
 
-// startRequest leaves a state that waits for a request, and restores the read deadline. The caller
-// holds mu.
-func (c *conn) startRequest(to connState) {
-	if c.ending {
+// leaveWaiting enters a state with a request, and restores the read deadline. The caller holds mu.
+func (c *conn) leaveWaiting(to connState) {
+	if c.closesWaiting {
 		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
 	c.state = to
 }
 
-// requestArrived reports whether a connection whose read deadline has passed has a request to be read.
-// If so, it sets a new deadline.
-func (c *conn) requestArrived() bool {
+// extendDeadline sets a new read deadline in place of one that has passed, if a request has arrived
+// for which the connection waited, and reports whether it has.
+func (c *conn) extendDeadline() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.state.waiting() || !arrived(c.Conn) {
+	if !c.state.waiting() || !unread(c.Conn) {
 		return false
 	}
+	c.deadline = time.Time{}
 	if timeout := c.server.options.ReadHeaderTimeout; timeout > 0 {
 		c.deadline = time.Now().Add(timeout)
-	} else {
-		c.deadline = time.Time{}
 	}
 	_ = c.Conn.SetReadDeadline(c.deadline)
 	c.state = stateReading
 	return true
 }
 
-// endsNow reports whether the connection is to be closed, since the server stops and no request has
-// arrived.
-func (c *conn) endsNow() bool {
+// isToClose reports whether the connection waits for a request and the server stops.
+func (c *conn) isToClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && c.state.waiting()
+	return c.closesWaiting && c.state.waiting()
 }
 
-// end closes the connection if it waits for a request, now or later.
-func (c *conn) end() {
+// hasRequest reports whether a request has begun that is not answered.
+func (c *conn) hasRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
-	if c.state.waiting() {
-		_ = c.Conn.SetReadDeadline(c.endDeadline())
+	return c.state == stateReading || c.state == stateServing
+}
+
+// closeWaiting closes the connection if it waits for a request, now or later. It wakes the read that
+// waits, which decides.
+func (c *conn) closeWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closesWaiting = true
+	if c.state.waiting() && !c.closed {
+		_ = c.Conn.SetReadDeadline(c.waitDeadline())
 	}
 }
 
-// endDeadline returns until when an ending connection waits for a request.
-func (c *conn) endDeadline() time.Time {
+// waitDeadline returns until when a connection that is to be closed waits for a request.
+func (c *conn) waitDeadline() time.Time {
 	if c.state == stateNew {
 		return c.acceptedAt.Add(firstRequestTimeout)
 	}
 	return longAgo
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. The HTTP server sets a deadline each time before it waits for a
+// request, which must not replace the one that closes the connection. It sets another one once it has
+// a request, which may have been read together with the one before.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.ending && c.state.waiting() {
-		t = c.endDeadline()
+	if c.state == stateIdle {
+		if c.waitSet {
+			c.state = stateReading
+		}
+		c.waitSet = true
+	}
+	if c.closesWaiting && c.state.waiting() {
+		t = c.waitDeadline()
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write implements net.Conn. Outside of a handler, it is the HTTP server that answers a request which
+// it could not read.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.state.waiting() || c.state == stateReading {
+		c.leaveWaiting(stateAnswered)
+	}
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // CloseWrite sends the end of the stream to the client, which lets it read the response before the
 // connection is closed.
 func (c *conn) CloseWrite() error {
@@ -162,33 +189,33 @@
 	return nil
 }
 
-// Close implements net.Conn. It reports a request that is left without an answer.
+// Close implements net.Conn. It reports what became of a request.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	how := closing{state: c.state, byClient: c.ended, lastReadAt: c.lastReadAt}
-	if !c.ended && !c.closed {
-		how.arrived = c.state.waiting() && arrived(c.Conn)
-		how.cut = how.arrived || c.state == stateReading || c.state == stateServing
-	}
-	first := !c.closed
+	first, refuses := !c.closed, c.closesWaiting && c.state.waiting() && !c.peerClosed
+	report := closeReport{state: c.state, byClient: c.peerClosed, lastReadAt: c.lastReadAt}
 	c.closed = true
 	c.mu.Unlock()
 	if !first {
 		return c.Conn.Close()
 	}
-	if how.state.waiting() && !how.byClient && !how.arrived && !c.server.closesAll() {
-		how.crossed = c.linger()
+	switch {
+	case refuses && !c.server.abortsAll():
+		report.crossed = c.refuse()
+	case !report.byClient:
+		report.unread = report.state.waiting() && unread(c.Conn)
+		report.cut = report.unread || report.state == stateReading || report.state == stateServing
 	}
 	err := c.Conn.Close()
-	c.server.recordClose(c, how)
+	c.server.recordClose(c, report)
 	c.server.remove(c)
 	return err
 }
 
-// linger sends a refusal and the end of the stream, and waits until the client closes the connection.
-// It reports whether the client has sent a request meanwhile, which takes the refusal for its answer.
-// Clients without a request drop the connection (RFC 9112, section 9.2).
-func (c *conn) linger() (crossed bool) {
+// refuse sends a refusal and the end of the stream, and waits until the client closes the connection.
+// It reports whether the client has sent a request that was not read, which takes the refusal for its
+// answer. Clients without a request drop the connection (RFC 9112, section 9.2).
+func (c *conn) refuse() (crossed bool) {
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
 	if _, err := c.Conn.Write(c.server.refusal); err != nil || c.CloseWrite() != nil {
 		return false
@@ -201,29 +228,48 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state.waiting() && !s.waiting() {
-		c.startRequest(s)
+		c.leaveWaiting(s)
 		return
 	}
-	c.state = s
+	c.state, c.waitSet = s, false
 }
 
-// closing describes a connection that is being closed.
-type closing struct {
+// closeReport tells what became of the request on a connection that was closed.
+type closeReport struct {
 	state connState
-	// arrived is set if bytes have arrived that were not read.
-	arrived bool
-	// crossed is set if the client has sent a request before it saw the end of the stream.
+	// crossed is set if a request was refused that came while the connection was closed.
 	crossed bool
-	// cut is set if a request that has reached this process is left without an answer.
+	// unread is set if bytes have arrived that were neither read nor refused.
+	unread bool
+	// cut is set if a request that has arrived is left without an answer.
 	cut bool
 	// byClient is set if the client has closed the connection before.
 	byClient   bool
 	lastReadAt time.Time
 }
 
-// arrived reports whether a connection has bytes that were not read. It reports false for connections
+// outcome returns what the report tells, for logs and metrics.
+func (r closeReport) outcome() string {
+	switch {
+	case r.crossed:
+		return "crossed"
+	case r.unread:
+		return "unread"
+	}
+	return r.state.String()
+}
+
+// by returns who closed the connection first.
+func (r closeReport) by() string {
+	if r.byClient {
+		return "client"
+	}
+	return "server"
+}
+
+// unread reports whether a connection has bytes that were not read. It reports false for connections
 // without a file descriptor.
-func arrived(c net.Conn) (found bool) {
+func unread(c net.Conn) (found bool) {
 	control(c, func(fd int) {
 		n, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		found = err == nil && n > 0
@@ -231,8 +277,8 @@
 	return found
 }
 
-// readable reports whether a connection waits to be accepted by a listener.
-func readable(l net.Listener) (found bool) {
+// acceptable reports whether a connection waits to be accepted by a listener.
+func acceptable(l net.Listener) (found bool) {
 	control(l, func(fd int) {
 		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 		found = err == nil && n > 0
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +25,6 @@
 	// firstRequestTimeout is how long a stopping server waits for the first request of a connection. A
 	// client opens one to send a request at once.
 	firstRequestTimeout = 250 * time.Millisecond
-	// answerTimeout is how long handlers may take to answer once their context has ended.
-	answerTimeout = 300 * time.Millisecond
 )
 
 // ErrStopped is the cause with which the contexts of requests end that a stopping server no longer
@@ -40,8 +40,8 @@
 	IdleTimeout       time.Duration
 	// MaxHeaderBytes limits the headers of a request. If it is 0, that of net/http applies.
 	MaxHeaderBytes int
-	// Refuse writes the response to a request that is not read, since it was sent while the server closed
-	// its idle connection. It must say that the request was not run.
+	// Refuse writes the response to a request that is not read, since it was sent while a server that
+	// stops closed its idle connection. It must say that the request was not run.
 	Refuse  func(http.ResponseWriter)
 	Log     *slog.Logger
 	Metrics *telemetry.Connections
@@ -55,17 +55,17 @@
 	// refusal is the response that Options.Refuse writes.
 	refusal []byte
 	// requests is the parent of the contexts of all requests.
-	requests       context.Context
-	cancelRequests context.CancelCauseFunc
-	mu             sync.Mutex
-	conns          map[*conn]struct{}
-	listeners      map[net.Listener]struct{}
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	mu          sync.Mutex
+	conns       map[*conn]struct{}
+	listeners   map[*listener]struct{}
 	// changed is closed and replaced when a connection or a listener is removed.
 	changed chan struct{}
 	// announcedAt is when Announce was called, or zero.
 	announcedAt time.Time
-	// ending is set once connections without a request are closed, and closing once all are.
-	ending, closing bool
+	// stopping is set once connections without a request are closed, and aborting once all are.
+	stopping, aborting bool
 }
 
 // connKey is the key of a request's connection in its context.
@@ -73,8 +73,8 @@
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{options: o, refusal: render(o.Refuse), conns: map[*conn]struct{}{}, listeners: map[net.Listener]struct{}{}, changed: make(chan struct{})}
-	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
+	s := &Server{options: o, refusal: render(o.Refuse), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{}, changed: make(chan struct{})}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: o.MaxHeaderBytes,
 		ConnState:   setConnState,
@@ -117,9 +117,14 @@
 }
 
 // Serve accepts connections until the server stops, when it returns nil, or until accepting fails.
-func (s *Server) Serve(l net.Listener) (err error) {
-	defer errs.Annotate(&err, "http1: serve %s", l.Addr())
+func (s *Server) Serve(accepting net.Listener) (err error) {
+	defer errs.Annotate(&err, "http1: serve %s", accepting.Addr())
+	l := &listener{accepting, s}
 	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		return l.Close()
+	}
 	s.listeners[l] = struct{}{}
 	s.mu.Unlock()
 	defer func() {
@@ -128,8 +133,8 @@
 		delete(s.listeners, l)
 		s.notify()
 	}()
-	err = s.http.Serve(listener{l, s})
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.announced() > 0 {
+	err = s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.stoppingFor() > 0 {
 		return nil
 	}
 	return err
@@ -138,14 +143,15 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*conn)
 	c.setState(stateServing)
-	response := &responseWriter{ResponseWriter: w, server: s}
-	s.options.Handler.ServeHTTP(response, r)
-	response.announce()
+	if s.stoppingFor() > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	s.options.Handler.ServeHTTP(w, r)
 	c.setState(stateAnswered)
 }
 
-// Announce tells clients with each response from now on that its connection will be closed, so that
-// they send no other request on it. All requests are still served.
+// Announce says with the response to each request that comes from now on that its connection will be
+// closed, so that the client sends no other request on it. All requests are still served.
 func (s *Server) Announce() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,8 +160,8 @@
 	}
 }
 
-// announced returns how long ago Announce was called, or 0 if it was not.
-func (s *Server) announced() time.Duration {
+// stoppingFor returns how long ago Announce was called, or 0 if it was not.
+func (s *Server) stoppingFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.announcedAt.IsZero() {
@@ -164,61 +170,74 @@
 	return max(time.Since(s.announcedAt), 1)
 }
 
-// Stop closes the listeners and each connection without a request, and returns once all others are
-// answered. When ctx ends before, it ends the contexts of the requests that are still served, which
-// their handlers answer at once. It returns an error if some of them were not answered even then.
-func (s *Server) Stop(ctx context.Context) (err error) {
+// Stop closes each connection without a request and the listeners, and returns once all requests are
+// answered. When ctx ends before, it ends the contexts of those that are still served, which gives
+// their handlers answerTimeout to answer them. It returns an error if some are not answered even then.
+func (s *Server) Stop(ctx context.Context, answerTimeout time.Duration) (err error) {
 	defer errs.Annotate(&err, "http1: stop")
 	s.Announce()
+	s.closeWaiting()
 	s.closeListeners(ctx)
-	s.endWaiting()
 	if !s.waitClosed(ctx) {
-		s.cancelRequests(ErrStopped)
+		s.endRequests(ErrStopped)
 		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
 		defer cancel()
 		if !s.waitClosed(answerCtx) {
-			s.mu.Lock()
-			err = fmt.Errorf("%d connections closed with a request in progress", len(s.conns))
-			s.mu.Unlock()
+			err = s.unansweredError()
 		}
 	}
-	s.cancelRequests(ErrStopped)
+	s.endRequests(ErrStopped)
 	s.mu.Lock()
-	s.closing = true
+	s.aborting = true
 	s.mu.Unlock()
 	_ = s.http.Close()
 	return err
 }
 
-// closesAll reports whether all connections are closed at once.
-func (s *Server) closesAll() bool {
+// unansweredError returns an error if requests are still served.
+func (s *Server) unansweredError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.hasRequest() {
+			n++
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d connections closed with a request in progress", n)
+}
+
+// abortsAll reports whether all connections are closed at once, with their requests.
+func (s *Server) abortsAll() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closing
+	return s.aborting
 }
 
 // closeListeners closes each listener once no connection waits to be accepted, since those that wait
 // are reset with the requests that they carry.
 func (s *Server) closeListeners(ctx context.Context) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for l := range s.listeners {
-		s.mu.Unlock()
-		for readable(l) && ctx.Err() == nil {
+	listeners := slices.Collect(maps.Keys(s.listeners))
+	s.mu.Unlock()
+	for _, l := range listeners {
+		for acceptable(l.Listener) && ctx.Err() == nil {
 			loop.Pause(ctx, acceptPause)
 		}
 		_ = l.Close()
-		s.mu.Lock()
 	}
 }
 
-// endWaiting closes all connections, present and future, while they wait for a request.
-func (s *Server) endWaiting() {
+// closeWaiting closes all connections, present and future, while they wait for a request.
+func (s *Server) closeWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ending = true
+	s.stopping = true
 	for c := range s.conns {
-		c.end()
+		c.closeWaiting()
 	}
 }
 
@@ -244,8 +263,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	if s.ending {
-		c.end()
+	if s.stopping {
+		c.closeWaiting()
 	}
 }
 
@@ -262,55 +281,15 @@
 	s.changed = make(chan struct{})
 }
 
-// recordClose counts a connection that is closed, and logs a request that is left without an answer.
-func (s *Server) recordClose(c *conn, how closing) {
-	state, by := how.state.String(), "server"
-	switch {
-	case how.arrived:
-		state = "unread"
-	case how.crossed:
-		state = "crossed"
-	}
-	if how.byClient {
-		by = "client"
-	}
-	s.options.Metrics.RecordClosed(state, by)
-	if how.cut {
-		s.options.Log.Warn("connection closed before its request was answered", "client", c.RemoteAddr().String(), "state", state,
-			"read-ms-ago", time.Since(how.lastReadAt).Milliseconds(), "stopping-ms", s.announced().Milliseconds())
-	}
-}
-
-// responseWriter announces with the response that the connection will be closed, if the server stops.
-type responseWriter struct {
-	http.ResponseWriter
-	server      *Server
-	wroteHeader bool
-}
-
-func (w *responseWriter) announce() {
-	if !w.wroteHeader && w.server.announced() > 0 {
-		w.Header().Set("Connection", "close")
+// recordClose counts a connection that was closed, and logs a request that is left without an answer.
+func (s *Server) recordClose(c *conn, r closeReport) {
+	s.options.Metrics.RecordClosed(r.outcome(), r.by())
+	if r.cut {
+		s.options.Log.Warn("connection closed before its request was answered", "client", c.RemoteAddr().String(), "state", r.outcome(),
+			"read-ms-ago", time.Since(r.lastReadAt).Milliseconds(), "stopping-ms", s.stoppingFor().Milliseconds())
 	}
 }
 
-// WriteHeader implements http.ResponseWriter.
-func (w *responseWriter) WriteHeader(status int) {
-	w.announce()
-	w.wroteHeader = w.wroteHeader || status >= http.StatusOK
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *responseWriter) Write(p []byte) (int, error) {
-	w.announce()
-	w.wroteHeader = true
-	return w.ResponseWriter.Write(p)
-}
-
-// Unwrap returns the writer to which http.ResponseController passes calls.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 // listener tracks the connections that it accepts.
 type listener struct {
 	net.Listener
@@ -318,7 +297,7 @@
 }
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,14 +26,18 @@
 	answerWait = 10 * time.Second
 	// settlePause lets the server's goroutines reach the point at which they wait.
 	settlePause = 50 * time.Millisecond
-	headerWait  = 500 * time.Millisecond
+	// shortHeaderTimeout is that of scripts in which it passes.
+	shortHeaderTimeout = 500 * time.Millisecond
+	// handlerTimeout is how long handlers may take to answer after the time for stopping.
+	handlerTimeout = 2 * time.Second
+	maxBodyBytes   = 100
 )
 
 // TestStopCutsNoRequest runs the scripts in testdata/stop, in which requests reach a server that has no
 // processor time to read them while it stops. It guards against connections that are closed with them.
 func TestStopCutsNoRequest(t *testing.T) {
 	datadriven.Walk(t, "testdata/stop", func(t *testing.T, path string) {
-		w := newWorld(t)
+		w := newWorld(t, path)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return w.runCommand(t, d) })
 	})
 }
@@ -42,7 +49,9 @@
 	clients  map[string]*client
 	accepts  *gate
 	reads    *gate
+	closes   *gate
 	answers  *gate
+	log      lockedBuffer
 	handling chan struct{}
 	served   chan error
 	stopped  chan error
@@ -119,28 +128,57 @@
 	return n, err
 }
 
-func newWorld(t *testing.T) *world {
+// SetDeadline is called when the server closes a connection with a refusal.
+func (c slowConn) SetDeadline(t time.Time) error {
+	c.world.closes.pass(context.Background())
+	return c.TCPConn.SetDeadline(t)
+}
+
+// lockedBuffer is a buffer that several goroutines may use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buffer.String(), text)
+}
+
+func newWorld(t *testing.T, script string) *world {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{
-		address: l.Addr().String(), clients: map[string]*client{}, accepts: newGate(), reads: newGate(), answers: newGate(),
+		address: l.Addr().String(), clients: map[string]*client{}, accepts: newGate(), reads: newGate(), closes: newGate(), answers: newGate(),
 		handling: make(chan struct{}, 100), served: make(chan error, 1), stopped: make(chan error, 1),
 	}
+	headerTimeout := answerWait
+	if filepath.Base(script) == "timed-out" {
+		headerTimeout = shortHeaderTimeout
+	}
 	w.server = New(Options{
-		Handler: http.HandlerFunc(w.handle), ReadHeaderTimeout: headerWait, IdleTimeout: answerWait,
+		Handler: http.HandlerFunc(w.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: answerWait,
 		Refuse: func(rw http.ResponseWriter) { rw.WriteHeader(http.StatusServiceUnavailable) },
-		Log:    slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
+		Log:    slog.New(slog.NewTextHandler(io.MultiWriter(t.Output(), &w.log), nil)), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
 	})
 	go func() { w.served <- w.server.Serve(slowListener{l.(*net.TCPListener), w}) }()
 	t.Cleanup(func() {
 		w.accepts.release()
 		w.reads.release()
+		w.closes.release()
 		w.answers.release()
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		_ = w.server.Stop(ctx)
+		_ = w.server.Stop(ctx, 0)
 		if err := <-w.served; err != nil {
 			t.Error(err)
 		}
@@ -154,9 +192,9 @@
 // handle answers with the body of the request once the gate for answers is open, or says that it was
 // not answered in time.
 func (w *world) handle(rw http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBodyBytes))
 	if err != nil {
-		rw.WriteHeader(http.StatusBadRequest)
+		rw.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
 	w.handling <- struct{}{}
@@ -196,7 +234,11 @@
 	case "release":
 		w.gate(t, d).release()
 	case "handled":
-		<-w.handling
+		select {
+		case <-w.handling:
+		case <-time.After(answerWait):
+			t.Fatal("no request reaches the handler")
+		}
 	case "announce":
 		w.server.Announce()
 	case "stop":
@@ -207,14 +249,21 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), limit)
 			defer cancel()
-			w.stopped <- w.server.Stop(ctx)
+			w.stopped <- w.server.Stop(ctx, handlerTimeout)
 		}()
 	case "stopped":
-		if err := <-w.stopped; err != nil {
-			return err.Error() + "\n"
+		select {
+		case err := <-w.stopped:
+			if err != nil {
+				return err.Error() + "\n"
+			}
+		case <-time.After(answerWait):
+			t.Fatal("the server does not stop")
 		}
+	case "cuts":
+		return fmt.Sprintln(w.log.count("closed before its request was answered"))
 	case "pause":
-		time.Sleep(2 * headerWait)
+		time.Sleep(2 * shortHeaderTimeout)
 	default:
 		t.Fatalf("unknown command %s", d.Cmd)
 	}
@@ -225,14 +274,14 @@
 func (w *world) gate(t *testing.T, d *datadriven.TestData) *gate {
 	what := ""
 	d.ScanArgs(t, "what", &what)
-	g := map[string]*gate{"accepts": w.accepts, "reads": w.reads, "answers": w.answers}[what]
+	g := map[string]*gate{"accepts": w.accepts, "reads": w.reads, "closes": w.closes, "answers": w.answers}[what]
 	if g == nil {
 		t.Fatalf("unknown gate %s", what)
 	}
 	return g
 }
 
-// send sends a request, or its first half or its rest.
+// send sends a request, a part of one, or something else.
 func (w *world) send(c *client, path, part string) string {
 	request := "POST " + path + " HTTP/1.1\r\nHost: hub\r\nContent-Length: 2\r\n\r\n{}"
 	half := len(request) / 2
@@ -243,6 +292,10 @@
 		request = request[half:]
 	case "twice":
 		request += request
+	case "too-large":
+		request = "POST / HTTP/1.1\r\nHost: hub\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 2*maxBodyBytes)
+	case "garbage":
+		request = "GARBAGE\r\n\r\n"
 	}
 	if _, err := io.WriteString(c, request); err != nil {
 		return "not sent\n"
