Answer a call once when its owner is given up while it runs

Do now tells whether the function has run, a second reply is dropped, and a call whose context has ended before it is sent is refused as not run.

--- a/internal/flow/entry/call.go
+++ b/internal/flow/entry/call.go
@@ -50,6 +50,9 @@
 // Call forwards a call to the owner of the cell. It retries at a new owner after a takeover, since
 // all calls are idempotent by the job's id.
 func (n *Node) Call(ctx context.Context, call *flowpb.Call) (r *flowpb.Reply, err error) {
+	if ctx.Err() != nil {
+		return nil, ErrNotRun
+	}
 	sent, triedStore := false, false
 	waitingSince := time.Now()
 	for {
@@ -122,7 +125,13 @@
 
 func callLocal(ctx context.Context, ownerCall func(*flowpb.Call, func(*flowpb.Reply)), call *flowpb.Call) (*flowpb.Reply, error) {
 	answer := make(chan *flowpb.Reply, 1)
-	ownerCall(call, func(r *flowpb.Reply) { answer <- r })
+	ownerCall(call, func(r *flowpb.Reply) {
+		select {
+		case answer <- r:
+		default:
+			// An owner that is given up may fail a call that it has answered.
+		}
+	})
 	select {
 	case r := <-answer:
 		if r == nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -56,10 +56,20 @@
 		defer close(ran)
 		f()
 	})
+	return l.wait(ran)
+}
+
+// wait waits until a function has run, which it may have though the loop has ended.
+func (l *Loop) wait(ran <-chan struct{}) error {
 	select {
 	case <-ran:
 		return nil
 	case <-l.done:
+	}
+	select {
+	case <-ran:
+		return nil
+	default:
 		return ErrStopped
 	}
 }
