--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -8,7 +8,9 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/gate"
+	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/problem"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
 // Limits of an announcement.
@@ -19,6 +21,19 @@
 	maxUpstreams         = 16
 )
 
+// readHeaderTimeout bounds the read of a request's header.
+const readHeaderTimeout = 5 * time.Second
+
+// NewServer returns a server of Handler.
+func (a *Agent) NewServer() *http1.Server {
+	return http1.New(http1.Options{
+		Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout, Log: a.options.Log, Metrics: telemetry.NewConnections(a.options.Metrics),
+		Refuse: func(w http.ResponseWriter) {
+			problem.Write(w, http.StatusServiceUnavailable, "draining", "the connection was closed before the request came")
+		},
+	})
+}
+
 // Handler serves the announcements of upstreams, health checks and metrics.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"time"
@@ -23,8 +22,8 @@
 	// platformMemoryLimit is the soft limit, in bytes, on the memory of a program on the
 	// platform, below the memory of its VM.
 	platformMemoryLimit = 90 << 20
-	// readHeaderTimeout bounds the read of a request's header by an agent's HTTP server.
-	readHeaderTimeout = 5 * time.Second
+	// agentStopTimeout bounds how long an agent that has ended answers the requests that have arrived.
+	agentStopTimeout = 500 * time.Millisecond
 )
 
 type entryCommand struct {
@@ -91,14 +90,18 @@
 	log, flush := newLogger(c.Level())
 	defer flush()
 	a := app.NewAgent(&c.Agent, log)
-	server := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := a.NewServer()
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = server.Serve(l)
 	}()
 	err = a.Run(c.ctx)
-	_ = server.Close()
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), agentStopTimeout)
+	defer cancel()
+	if stopErr := server.Stop(stopCtx, agentStopTimeout); stopErr != nil {
+		log.Warn("requests cut off at the stop", "error", stopErr.Error())
+	}
 	<-served
 	return err
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -34,6 +34,13 @@
 	upstreamPathPrefix     = "/"
 )
 
+func (e *Entry) newServer(h http.Handler, m *telemetry.Connections) *http1.Server {
+	return http1.New(http1.Options{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes,
+		Refuse: refuse, Log: e.log, Metrics: m,
+	})
+}
+
 // refuse writes the response to a request that was not read.
 func refuse(w http.ResponseWriter) {
 	problem.RetryAfter(w, drainingRetryAfter)
@@ -55,7 +62,7 @@
 	return c
 }
 
-func (e *Entry) callerServer() *http1.Server {
+func (e *Entry) callerServer(m *telemetry.Connections) *http1.Server {
 	ws := new(restful.WebService)
 	ws.Path("/v1")
 	ws.Route(ws.POST("/services/{service}/requests").To(e.postRequest).Consumes("*/*").Produces("*/*"))
@@ -64,10 +71,7 @@
 	health := new(restful.WebService)
 	health.Path("/")
 	e.addHealthRoutes(health)
-	return http1.New(http1.Options{
-		Handler: newContainer(ws, health), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes,
-		Refuse: refuse, Log: e.log, Metrics: telemetry.NewConnections(e.options.Metrics),
-	})
+	return e.newServer(newContainer(ws, health), m)
 }
 
 func (e *Entry) addHealthRoutes(ws *restful.WebService) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
 const (
@@ -121,7 +122,8 @@
 	defer stopWork()
 	loopContext, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	go e.loop.Run(loopContext)
-	callers, operators := e.callerServer(), e.operatorServer()
+	connections := telemetry.NewConnections(e.options.Metrics)
+	callers, operators := e.callerServer(connections), e.operatorServer(connections)
 	stopped := []<-chan struct{}{
 		goServe(callers, l.Callers), goServe(operators, l.Operators),
 		e.goAccept(workContext, l.Peers), e.goDial(workContext), e.goRegister(workContext),
@@ -135,8 +137,8 @@
 	e.drain(ctx, callers)
 	stopCells()
 	<-cellsDone
+	e.stopOperators(ctx, operators)
 	stopWork()
-	_ = operators.Close()
 	_ = l.Peers.Close()
 	for _, done := range stopped {
 		<-done
@@ -164,6 +166,15 @@
 	e.log.Info("drained", "in-flight-at-start", inFlight, "cut-off", e.inFlight.Load(), "seconds", time.Since(start).Seconds(), "error", errs.Text(err))
 }
 
+// stopOperators answers the operators' calls in progress, at most for answerTimeout.
+func (e *Entry) stopOperators(ctx context.Context, operators *http1.Server) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+	defer cancel()
+	if err := operators.Stop(ctx, answerTimeout); err != nil {
+		e.log.Warn("calls of operators cut off", "error", err.Error())
+	}
+}
+
 // publishPeriodically publishes the routing table at an interval until ctx ends.
 func (e *Entry) publishPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -15,16 +15,18 @@
 
 	"github.com/jasminebay/jasminebay/internal/config"
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	"github.com/jasminebay/jasminebay/internal/problem"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 	"github.com/jasminebay/jasminebay/pkg/client"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
 const operatorTimeout = 5 * time.Second
 
-func (e *Entry) operatorServer() *http.Server {
+func (e *Entry) operatorServer(m *telemetry.Connections) *http1.Server {
 	ws := new(restful.WebService)
 	ws.Path("/v1")
 	ws.Route(ws.GET("/environments/{environment}").To(e.getEnvironment).Produces(restful.MIME_JSON))
@@ -43,7 +45,7 @@
 	root.Route(root.GET("/metrics").To(func(r *restful.Request, w *restful.Response) {
 		metrics.ServeHTTP(w.ResponseWriter, r.Request)
 	}))
-	return &http.Server{Handler: newContainer(ws, root), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes}
+	return e.newServer(newContainer(ws, root), m)
 }
 
 func etag(revision uint64) string { return `"` + strconv.FormatUint(revision, 10) + `"` }
