Arrange the routes of a configuration in linear time, and without the lock

Cause: documentHolder.apply inserted each route into a sorted slice that it copied as a whole, under the lock that every call takes to find its route.

Change: routes are kept in a map by prefix, with the lengths that occur in order. The map is built before the lock is taken. Calls use the document before until the new one is in force as a whole; among equal prefixes the first route still applies, and versions still never go back.

--- a/internal/flow/entry/document.go
+++ b/internal/flow/entry/document.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"strings"
+	"slices"
 	"sync"
 
 	"github.com/jasminebay/jasminebay/internal/flow/engine"
@@ -30,35 +30,82 @@
 	return queues
 }
 
+// hostRoutes finds the routes of one host. A lookup costs one access for each length of prefix, and
+// not one for each route, of which there may be thousands.
+type hostRoutes struct {
+	// lengths holds the lengths of the prefixes, the longest first.
+	lengths  []int
+	byPrefix map[string]*Route
+}
+
+// routesByHost returns the routes of the document by their hosts. Of routes with the same host and
+// prefix the first applies.
+func (d *Document) routesByHost() map[string]*hostRoutes {
+	hosts := map[string]*hostRoutes{}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		h := hosts[r.Host]
+		if h == nil {
+			h = &hostRoutes{byPrefix: map[string]*Route{}}
+			hosts[r.Host] = h
+		}
+		if _, known := h.byPrefix[r.Prefix]; known {
+			continue
+		}
+		h.byPrefix[r.Prefix] = r
+		if at, found := slices.BinarySearchFunc(h.lengths, len(r.Prefix), func(a, b int) int { return b - a }); !found {
+			h.lengths = slices.Insert(h.lengths, at, len(r.Prefix))
+		}
+	}
+	return hosts
+}
+
+// match returns the route with the longest matching prefix, or nil. It may be called for nil.
+func (h *hostRoutes) match(path string) *Route {
+	if h == nil {
+		return nil
+	}
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if r := h.byPrefix[path[:n]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
 // documentHolder holds the newest document. It is safe for concurrent use.
 type documentHolder struct {
 	mu       sync.RWMutex
 	document *Document
-	// byHost holds the routes of each host, the longest prefix first.
-	byHost map[string][]Route
+	byHost   map[string]*hostRoutes
 }
 
 // apply puts a document in force and reports whether it did so. It ignores a document that is not
 // newer than the one in force.
 func (h *documentHolder) apply(d *Document) bool {
+	if !h.precedes(d) {
+		return false
+	}
+	// Calls are matched with the document before while the routes of this one are arranged.
+	byHost := d.routesByHost()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.document != nil && d.Version <= h.document.Version {
 		return false
 	}
-	h.document, h.byHost = d, map[string][]Route{}
-	for _, r := range d.Routes {
-		routes := h.byHost[r.Host]
-		at := 0
-		for at < len(routes) && len(routes[at].Prefix) >= len(r.Prefix) {
-			at++
-		}
-		routes = append(routes[:at:at], append([]Route{r}, routes[at:]...)...)
-		h.byHost[r.Host] = routes
-	}
+	h.document, h.byHost = d, byHost
 	return true
 }
 
+// precedes reports whether a document is newer than the one in force.
+func (h *documentHolder) precedes(d *Document) bool {
+	current := h.current()
+	return current == nil || d.Version > current.Version
+}
+
 func (h *documentHolder) current() *Document {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
@@ -69,10 +116,8 @@
 func (h *documentHolder) match(host, path string) (Route, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	for _, r := range h.byHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
-		}
+	if r := h.byHost[host].match(path); r != nil {
+		return *r, true
 	}
 	return Route{}, false
 }
