--- a/internal/loop/time.go
+++ b/internal/loop/time.go
@@ -41,3 +41,11 @@
 	}()
 	return done
 }
+
+// yieldTime is short, since the goroutine that yields has work to do.
+const yieldTime = 20 * time.Microsecond
+
+// Yield lets goroutines run that wait for the processor or for the network. The scheduler polls the
+// network only when nothing is runnable, which a goroutine that calls runtime.Gosched stays, and its
+// monitor thread may get no turn in a process that has a fraction of a processor.
+func Yield() { time.Sleep(yieldTime) }
