Let a process end while nobody reads its log

Cause: BoundedWriter.Run wrote the log out from the goroutine that also waited for the end. If the consumer stopped reading, that goroutine was blocked in a write of the ticker's and never saw that the context had ended, so that the process stayed until SIGKILL. finalFlushTimeout bounded the last write alone.

Change: one goroutine writes, another waits for it after the end, at most finalFlushTimeout.

Test: TestUnreadLogKeepsProcessAlive, on the paused clock. Before, Run's channel was not closed half a second after the end (nor ever, as long as the writer was blocked).

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -17,8 +17,9 @@
 	linesPerSecond    = 60
 	warningsPerSecond = 200
 	droppedMessage    = "log lines dropped"
-	// finalFlushTimeout bounds the last write when the process ends.
-	finalFlushTimeout = time.Second
+	// finalFlushTimeout bounds the wait for the last write when the process ends, within what is left
+	// of its grace period.
+	finalFlushTimeout = 300 * time.Millisecond
 )
 
 // BoundedWriter buffers log lines in memory and writes them to another writer from a goroutine
@@ -47,11 +48,12 @@
 }
 
 // Run starts to write out buffered lines at an interval until ctx ends. It closes the returned
-// channel after a last write, or after finalFlushTimeout if the consumer does not read.
+// channel after a last write, or finalFlushTimeout after the end of ctx if the consumer does not read.
 func (b *BoundedWriter) Run(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
+	flushed := make(chan struct{})
 	go func() {
-		defer close(done)
+		defer close(flushed)
+		defer b.flush()
 		t := time.NewTicker(logFlushInterval)
 		defer t.Stop()
 		for {
@@ -59,19 +61,20 @@
 			case <-t.C:
 				b.flush()
 			case <-ctx.Done():
-				flushed := make(chan struct{})
-				go func() {
-					defer close(flushed)
-					b.flush()
-				}()
-				select {
-				case <-flushed:
-				case <-time.After(finalFlushTimeout):
-				}
 				return
 			}
 		}
 	}()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-ctx.Done()
+		// Any write may block for as long as the consumer does not read, not only the last one.
+		select {
+		case <-flushed:
+		case <-time.After(finalFlushTimeout):
+		}
+	}()
 	return done
 }
 
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -23,6 +23,26 @@
 	return w.Buffer.Write(p)
 }
 
+// TestUnreadLogKeepsProcessAlive guards against a process that never ends because nobody reads its log.
+func TestUnreadLogKeepsProcessAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &blockedWriter{release: make(chan struct{})}
+		defer close(out.release)
+		w := NewBoundedWriter(out)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := w.Run(ctx)
+		NewRateLimitedLogger(w, slog.LevelInfo).Info("stopping")
+		time.Sleep(2 * logFlushInterval)
+		cancel()
+		select {
+		case <-done:
+		case <-time.After(500 * time.Millisecond):
+			is.Fail() // still waiting for the log half a second after the end
+		}
+	})
+}
+
 // TestBoundedLog checks that logging never blocks while nobody reads the log, and that dropped
 // lines are counted, by message for the rate limit and together for the full buffer.
 func TestBoundedLog(t *testing.T) {
