End handshakes between processes with their context

Cause: link.Dial and link.Accept were bounded by HelloTimeout (1 s) and not by their context. An entry that had just dialled a silent owner, or accepted a peer that said nothing, still waited for it after it had been told to end: 3.6 s of calls, up to 1 s for calls in progress and 1 s here make 5.6 s of a grace time of 6 s, where 5.4 s is the target. The same for an agent whose owner is silent.

--- a/internal/flow/link/link.go
+++ b/internal/flow/link/link.go
@@ -34,13 +34,16 @@
 	hello      *flowpb.Hello
 }
 
-// Dial connects to the owner at address, sends hello and returns the answer to it.
+// Dial connects to the owner at address, sends hello and returns the answer to it. It fails if ctx
+// ends first.
 func Dial(ctx context.Context, address string, hello *flowpb.Hello) (l *Link, welcome *flowpb.Welcome, err error) {
 	defer errs.Annotate(&err, "link: dial %s", address)
 	session, err := peer.Connect(ctx, address, DialTimeout)
 	if err != nil {
 		return nil, nil, err
 	}
+	stop := context.AfterFunc(ctx, session.Close)
+	defer stop()
 	stream, err := session.OpenStream()
 	if err != nil {
 		session.Close()
@@ -60,7 +63,7 @@
 }
 
 // Accept reads the hello of the process that opened the connection. The caller must answer it with
-// a Welcome frame.
+// a Welcome frame. It fails if ctx ends first.
 func Accept(ctx context.Context, conn net.Conn) (l *Link, err error) {
 	defer errs.Annotate(&err, "link: accept")
 	session, err := peer.ServerSession(conn)
@@ -69,6 +72,8 @@
 	}
 	timer := time.AfterFunc(HelloTimeout, session.Close)
 	defer timer.Stop()
+	stop := context.AfterFunc(ctx, session.Close)
+	defer stop()
 	stream, err := session.AcceptStream()
 	if err != nil {
 		session.Close()
