Let sessions end with the process while the cell is loaded

Cause: awaitOwner waited for an owner that was being loaded for up to 2 s by its own deadline. Once its context had ended each wait returned at once, so that every session of an agent or entry spun without a pause, in competition with the load on less than one core, and Node.Run waited for all of them.

Change: awaitOwner returns when its context has ended.

Test: TestAwaitOwnerSpinsAfterEnd.

--- a/internal/flow/entry/serve.go
+++ b/internal/flow/entry/serve.go
@@ -147,14 +147,14 @@
 }
 
 // awaitOwner returns the owner in this process, or nil if there is none. It waits while the cell is
-// being loaded.
+// being loaded, until ctx ends.
 func (n *Node) awaitOwner(ctx context.Context) *owner.Owner {
 	deadline := time.Now().Add(ownerLoadTimeout)
 	for {
 		n.mu.Lock()
 		local, takingOver, changed := n.localOwner, n.takingOver, n.changed
 		n.mu.Unlock()
-		if local != nil || !takingOver || time.Now().After(deadline) {
+		if local != nil || !takingOver || ctx.Err() != nil || time.Now().After(deadline) {
 			return local
 		}
 		n.waitChange(ctx, changed, retryPause)
--- a/internal/flow/entry/stop_test.go
+++ b/internal/flow/entry/stop_test.go
@@ -125,3 +125,16 @@
 	is.True(time.Since(told) < testGoneBy) // alive after 0.9 of the grace time
 	is.Equal(n.localOwner, nil)
 }
+
+// TestAwaitOwnerSpinsAfterEnd guards against sessions that use up the processor while the cell is
+// being loaded and the process should end.
+func TestAwaitOwnerSpinsAfterEnd(t *testing.T) {
+	is := is.New(t)
+	n, _ := newTestNode(newFakeStore())
+	n.setTakingOver(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	began := time.Now()
+	is.Equal(n.awaitOwner(ctx), nil)
+	is.True(time.Since(began) < testGoneBy-testDrain-testShutdown) // still waiting for the cell
+}
