--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -5,7 +5,6 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -101,7 +100,7 @@
 	storeSilence time.Duration
 }
 
-// New returns a Node. Run must be called next.
+// New returns a Node. Run and Serve must be called next.
 func New(o Options) *Node {
 	return &Node{options: o, changed: make(chan struct{}), peers: map[string]peerState{}, ownerLostAt: o.Clock()}
 }
@@ -120,18 +119,11 @@
 	}
 }
 
-// Run serves connections to the listener, and follows or becomes the owner of the cell, until ctx
-// ends.
-func (n *Node) Run(ctx context.Context, l net.Listener) {
-	acceptDone := loop.Go(ctx, func(ctx context.Context) { n.accept(ctx, l) })
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	defer stop()
+// Run follows or becomes the owner of the cell until ctx ends.
+func (n *Node) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.reconcile(ctx)
 	}
-	_ = l.Close()
-	<-acceptDone
-	n.sessions.Wait()
 }
 
 // reconcile determines who owns the cell, and follows the owner or takes over from it.
--- a/internal/flow/entry/serve.go
+++ b/internal/flow/entry/serve.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// Serve serves the sessions of agents and other entries that connect to the listener, until ctx ends.
+func (n *Node) Serve(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	n.accept(ctx, l)
+	n.sessions.Wait()
+}
+
 func (n *Node) accept(ctx context.Context, l net.Listener) {
 	for {
 		conn, err := l.Accept()
--- a/internal/flow/entry/stop_test.go
+++ b/internal/flow/entry/stop_test.go
@@ -108,7 +108,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	followed := loop.Go(ctx, follower.Run)
-	ran := loop.Go(ctx, func(ctx context.Context) { n.Run(ctx, &idleListener{closed: make(chan struct{})}) })
+	ran := loop.Go(ctx, n.Run)
+	served := loop.Go(ctx, func(ctx context.Context) { n.Serve(ctx, &idleListener{closed: make(chan struct{})}) })
 	time.Sleep(1500 * time.Millisecond)
 	synctest.Wait()
 	if f.silent {
@@ -121,6 +122,7 @@
 	time.Sleep(testDrain + testShutdown)
 	stop()
 	<-ran
+	<-served
 	<-followed
 	is.True(time.Since(told) < testGoneBy) // alive after 0.9 of the grace time
 	is.Equal(n.localOwner, nil)
