Log no failed handshakes when the process ends

Cause: since handshakes end with their context, an entry that ends logs a line for each peer whose handshake it cuts off.

Change: such a handshake is no failure of the peer, and is not logged.

Test: TestHandshakesCutByStopFloodLog; it found the line before.

--- a/internal/flow/entry/serve.go
+++ b/internal/flow/entry/serve.go
@@ -127,7 +127,10 @@
 func (n *Node) serve(ctx context.Context, conn net.Conn) {
 	l, err := link.Accept(ctx, conn)
 	if err != nil {
-		n.options.Log.Info("handshake with a peer failed", "from", conn.RemoteAddr().String(), "error", err.Error())
+		// Handshakes that the end of this process cuts off are no failures of the peers.
+		if ctx.Err() == nil {
+			n.options.Log.Info("handshake with a peer failed", "from", conn.RemoteAddr().String(), "error", err.Error())
+		}
 		return
 	}
 	stop := context.AfterFunc(ctx, l.Close)
--- a/internal/flow/entry/stop_test.go
+++ b/internal/flow/entry/stop_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -41,9 +42,13 @@
 
 // newTestNode returns a node on the paused clock, and its follower, which has yet to run.
 func newTestNode(store *fakeStore) (*Node, *locate.Follower) {
+	return newLoggingNode(store, slog.DiscardHandler)
+}
+
+func newLoggingNode(store *fakeStore, handler slog.Handler) (*Node, *locate.Follower) {
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) + time.Second }
-	log := slog.New(slog.DiscardHandler)
+	log := slog.New(handler)
 	follower := locate.New(locate.Options{Cell: "c", Store: store, Clock: clock, WatchWait: 500 * time.Millisecond, Log: log})
 	n := New(Options{
 		Cell: "c", Identity: owner.Identity{Node: "n", Incarnation: 1, Address: "127.0.0.1:1"}, Zone: "a", CPUShare: 0.8,
@@ -140,3 +145,17 @@
 	is.Equal(n.awaitOwner(ctx), nil)
 	is.True(time.Since(began) < testGoneBy-testDrain-testShutdown) // still waiting for the cell
 }
+
+// TestHandshakesCutByStopFloodLog guards against a line for each peer in the last moment of a process,
+// beside which the line that says what it waited for is lost.
+func TestHandshakesCutByStopFloodLog(t *testing.T) {
+	is := is.New(t)
+	var lines bytes.Buffer
+	n, _ := newLoggingNode(newFakeStore(), slog.NewTextHandler(&lines, nil))
+	peer, conn := net.Pipe()
+	defer peer.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	n.serve(ctx, conn)
+	is.Equal(lines.String(), "")
+}
