--- a/internal/flow/locate/locate.go
+++ b/internal/flow/locate/locate.go
@@ -86,7 +86,10 @@
 		} else {
 			after, err = f.watch(ctx, key, after)
 		}
-		if err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			if !unreachable {
 				f.options.Log.Warn("store unreachable", "for", "owner record", "error", err.Error())
 			}
