--- a/internal/flow/entry/serve.go
+++ b/internal/flow/entry/serve.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// Serve serves the sessions of agents and other entries that connect to the listener, until ctx ends.
+func (n *Node) Serve(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	n.accept(ctx, l)
+	n.sessions.Wait()
+}
+
 func (n *Node) accept(ctx context.Context, l net.Listener) {
 	for {
 		conn, err := l.Accept()
@@ -119,7 +127,10 @@
 func (n *Node) serve(ctx context.Context, conn net.Conn) {
 	l, err := link.Accept(ctx, conn)
 	if err != nil {
-		n.options.Log.Info("handshake with a peer failed", "from", conn.RemoteAddr().String(), "error", err.Error())
+		// Handshakes that the end of this process cuts off are no failures of the peers.
+		if ctx.Err() == nil {
+			n.options.Log.Info("handshake with a peer failed", "from", conn.RemoteAddr().String(), "error", err.Error())
+		}
 		return
 	}
 	stop := context.AfterFunc(ctx, l.Close)
@@ -147,14 +158,14 @@
 }
 
 // awaitOwner returns the owner in this process, or nil if there is none. It waits while the cell is
-// being loaded.
+// being loaded, until ctx ends.
 func (n *Node) awaitOwner(ctx context.Context) *owner.Owner {
 	deadline := time.Now().Add(ownerLoadTimeout)
 	for {
 		n.mu.Lock()
 		local, takingOver, changed := n.localOwner, n.takingOver, n.changed
 		n.mu.Unlock()
-		if local != nil || !takingOver || time.Now().After(deadline) {
+		if local != nil || !takingOver || ctx.Err() != nil || time.Now().After(deadline) {
 			return local
 		}
 		n.waitChange(ctx, changed, retryPause)
