Ask the runner before an announcement under another id applies

Cause: a heartbeat from another writer, under an id of its own and with a service that isn't named, replaced the agent's runner. The owner took the runs of the id before for lost and started them elsewhere at once, while they went on under their lease.

Change: an announcement under another id applies unless the runner denies that id (421) to a poll under a token of 0, which does nothing else. A runner that does not answer yet is believed as before.

Measured: TestAnnouncementOfAnotherRunner failed before with "odd != i-1".

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -194,29 +195,50 @@
 	}
 }
 
-// SetRunner applies an announcement of the runner. It requests a new token if the runner or its
-// incarnation has changed.
+// SetRunner applies an announcement of the runner. Under another id than before it applies only if the
+// runner does not deny that id: the owner takes the runs of the id before for lost.
 func (a *Agent) SetRunner(r *flowpb.Runner) {
 	a.loop.Post(func() {
-		before := a.state.runner
-		if a.state.leaving {
-			r = withAgentLeaving(r)
+		if before := a.state.runner; before != nil && before.GetId() == r.GetId() {
+			a.applyRunner(r)
+			return
 		}
-		a.state.runner = r
-		switch {
-		case before == nil || before.GetId() != r.GetId() || before.GetBorn() != r.GetBorn():
-			a.options.Log.Info("runner announced", "runner", r.GetId(), "born", r.GetBorn(), "service", r.GetService(), "cpu", r.GetMilliCpu(), "memory-mb", r.GetMemoryMb())
-			a.beginIncarnation(r.GetId())
-			a.requestToken(false)
-		case before.GetDraining() != r.GetDraining():
-			a.options.Log.Info("runner state changed", "runner", r.GetId(), "draining", r.GetDraining(), "remaining-ms", r.GetRemainingMillis())
-			if a.state.tokenConfirmed {
-				a.sendReport(&flowpb.Report{})
+		var err error
+		a.sendOrder(func(ctx context.Context) error {
+			// The runner does nothing under a token of 0, unless it has seen none.
+			_, err = a.options.Runner.Hold(ctx, driver.RunnerID{ID: r.GetId(), StartedMillis: r.GetBorn()}, driver.HoldRequest{})
+			return nil
+		}, func(error, bool) {
+			if errors.Is(err, driver.ErrWrongIncarnation) {
+				a.options.Log.Warn("announcement of another runner ignored", "runner", r.GetId(), "current", a.state.runner.GetId())
+				return
 			}
-		}
+			a.applyRunner(r)
+		})
 	})
 }
 
+// applyRunner applies an announcement of the runner. It requests a new token if the runner or its
+// incarnation has changed.
+func (a *Agent) applyRunner(r *flowpb.Runner) {
+	before := a.state.runner
+	if a.state.leaving {
+		r = withAgentLeaving(r)
+	}
+	a.state.runner = r
+	switch {
+	case before == nil || before.GetId() != r.GetId() || before.GetBorn() != r.GetBorn():
+		a.options.Log.Info("runner announced", "runner", r.GetId(), "born", r.GetBorn(), "service", r.GetService(), "cpu", r.GetMilliCpu(), "memory-mb", r.GetMemoryMb())
+		a.beginIncarnation(r.GetId())
+		a.requestToken(false)
+	case before.GetDraining() != r.GetDraining():
+		a.options.Log.Info("runner state changed", "runner", r.GetId(), "draining", r.GetDraining(), "remaining-ms", r.GetRemainingMillis())
+		if a.state.tokenConfirmed {
+			a.sendReport(&flowpb.Report{})
+		}
+	}
+}
+
 // Leave tells the owner to place no more tasks here. It waits until ctx ends or all runs have
 // ended, except those of long-running tasks.
 func (a *Agent) Leave(ctx context.Context) {
--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -12,6 +13,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/flow/link"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
@@ -157,3 +159,41 @@
 	order, _, _ = a.nextPoll()
 	is.Equal(order.Acknowledged, uint64(0))
 }
+
+// namedRunner is a runner that answers to its id alone.
+type namedRunner struct {
+	driver.Runner
+	id string
+}
+
+func (r namedRunner) Hold(_ context.Context, at driver.RunnerID, _ driver.HoldRequest) (report driver.HoldReport, err error) {
+	if at.ID != r.id {
+		return report, driver.ErrWrongIncarnation
+	}
+	return report, driver.ErrFenced
+}
+
+// TestAnnouncementOfAnotherRunner checks that an announcement under an id to which the runner does not
+// answer leaves the known runner. The owner would take its runs for lost and start them elsewhere,
+// while they go on.
+func TestAnnouncementOfAnotherRunner(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a, _ := connectedAgent(is, t, &now)
+	ctx, stop := context.WithCancel(t.Context())
+	a.ctx, a.options.Runner = ctx, namedRunner{id: "i-1"}
+	done := loop.Go(ctx, a.loop.Run)
+	announce := func(id string, born int64) (known *flowpb.Runner) {
+		a.SetRunner(&flowpb.Runner{Id: id, Born: born, MilliCpu: 4})
+		is.NoErr(a.loop.Do(func() {}))
+		a.orders.Wait()
+		is.NoErr(a.loop.Do(func() { known = a.state.runner }))
+		return known
+	}
+	is.Equal(announce("odd", 5).GetId(), "i-1")
+	is.Equal(announce("i-1", 2000).GetBorn(), int64(2000))
+	is.NoErr(a.loop.Do(func() { a.options.Runner = namedRunner{id: "i-2"} }))
+	is.Equal(announce("i-2", 3000).GetId(), "i-2")
+	stop()
+	<-done
+}
