Bound the times, needs and counts that an owner computes with

Cause: numbers of a job were taken as they came. A recurring job of which very many occurrences were due began them all in one tick, which held up the owner, took its memory, and did the same to the next owner, since the job is stored. 2^44 MB of memory are 2^64 bytes, so that a task that needs them was placed as one that needs none. The time of an occurrence overflowed and was due at once; long estimates overflowed in sums. Stored estimates that are no numbers were restored and never corrected. The logarithm of no time at all kept a runner from being found slow.

Change: new jobs have limits (10,000 occurrences, a million tasks in all, 256 KiB, needs that no runner has). Stored jobs are not held to them, since a job that was accepted must not be lost; conversions saturate (internal/saturate), and at most 1,000 occurrences of a job and 20,000 tasks are open at a time. The remaining work of a job is computed once a placement round, not for each of its steps. Learned values that are not plausible are left out.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 // Admission control sheds load in bursts that exceed the capacity of the runners. A job that
@@ -47,7 +48,7 @@
 	if wait <= l.AllowedMillis {
 		return true, 0
 	}
-	after := time.Duration(wait-l.AllowedMillis) * time.Millisecond
+	after := saturate.Of(wait-l.AllowedMillis, time.Millisecond)
 	return false, min(max(after, minRetryAfter), maxRetryAfter)
 }
 
@@ -128,7 +129,7 @@
 		known.inboxItems = append(known.inboxItems, name)
 		e.markDirty(known)
 		return
-	} else if Validate(def) != nil || known != nil {
+	} else if validateSteps(def) != nil || known != nil {
 		// The item is a duplicate, or was not written by an entry.
 		e.staleInboxItems = append(e.staleInboxItems, name)
 		return
@@ -137,7 +138,7 @@
 		def.Terms = &flowpb.Terms{}
 	}
 	j := &job{def: def, queue: queueFromTerms(def.GetQueue(), def.GetTerms()), inboxItems: []string{name}}
-	j.arrivedAt = now.Monotonic - time.Duration(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))*time.Millisecond
+	j.arrivedAt = now.Monotonic - saturate.Millis(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))
 	e.options.Log.Info("job accepted from inbox", "job", j.id(), "queue", def.GetQueue(), "age-ms", (now.Monotonic - j.arrivedAt).Milliseconds())
 	e.addJob(j, newOccurrence(j, 0, now.Monotonic), now)
 }
@@ -185,7 +186,7 @@
 		l.MilliCPU = min(l.MilliCPU, int64(e.throughput))
 	}
 	for _, s := range first.steps {
-		l.Backlog += float64(s.def.GetCount()) * e.estimates.expectedMillis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
+		l.Backlog += float64(s.def.GetCount()) * e.estimates.expectedMillis(j.queue.Name, estimateMillis(s.def)) * float64(s.def.GetMilliCpu())
 	}
 	l.CriticalPathMillis = e.estimates.expectedMillis(j.queue.Name, first.criticalPathMillis())
 	l.AllowedMillis = j.queue.Stretch*l.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
@@ -254,7 +255,7 @@
 			if o.done || s.def.GetLasting() {
 				continue
 			}
-			perTask := e.estimates.expectedMillis(j.queue.Name, s.def.GetEstimateMillis()) * float64(s.def.GetMilliCpu())
+			perTask := e.estimates.expectedMillis(j.queue.Name, estimateMillis(s.def)) * float64(s.def.GetMilliCpu())
 			for _, t := range s.tasks {
 				switch {
 				case t.done:
--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"math"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 // Connect records that a session with a node's agent has opened.
@@ -35,7 +37,7 @@
 		w.acknowledgedEnd, w.processedEnd, w.orphanRuns, w.health = 0, 0, map[driver.RunID]time.Duration{}, health{}
 	}
 	w.info = info
-	if held := time.Duration(s.GetLeaseMillis()) * time.Millisecond; held > 0 {
+	if held := saturate.Millis(s.GetLeaseMillis()); held > 0 {
 		w.leaseEnd = max(w.leaseEnd, leaseExpiry(now.Monotonic, held, held))
 	}
 	unanswered := map[driver.RunID]bool{}
@@ -241,7 +243,7 @@
 // handleEnd applies the end of a run that a runner reports.
 func (e *Engine) handleEnd(w *worker, end *flowpb.End, now Timestamp) {
 	r := w.runs.get(driver.RunID{Task: end.GetTask(), Run: end.GetRun()})
-	kind := driver.EndKind(end.GetKind())
+	kind := driver.EndKind(min(end.GetKind(), math.MaxUint8))
 	if r == nil {
 		e.options.Log.Info("ignoring end of a run that is not assigned", "node", w.node, "task", end.GetTask(), "run", end.GetRun(), "kind", kind.String())
 		return
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 const (
@@ -123,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	j.arrivedAt = now.Monotonic - time.Duration(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))*time.Millisecond
+	j.arrivedAt = now.Monotonic - saturate.Millis(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))
 	j.storedState = stateOf(state)
 	e.jobs[j.id()] = j
 	if j.open() {
@@ -276,7 +277,8 @@
 	}
 }
 
-// beginDueOccurrences begins all occurrences that are due.
+// beginDueOccurrences begins all occurrences that are due, of each job as many as may be open at a
+// time.
 func (e *Engine) beginDueOccurrences(now Timestamp) {
 	due := map[string]*job{}
 	for id, j := range e.openJobs {
@@ -286,9 +288,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(due)) {
 		j := due[id]
-		for j.isDue(now) {
+		for j.isDue(now) && j.mayBegin() {
 			o := newOccurrence(j, j.nextOccurrence, now.Monotonic)
-			o.startedAt = now.Monotonic - time.Duration(now.UnixMillis-j.dueUnixMillis(j.nextOccurrence))*time.Millisecond
+			o.startedAt = now.Monotonic - saturate.Millis(now.UnixMillis-j.dueUnixMillis(j.nextOccurrence))
 			o.advance(now.Monotonic)
 			j.occurrences = append(j.occurrences, o)
 			j.nextOccurrence++
--- a/internal/flow/engine/estimate.go
+++ b/internal/flow/engine/estimate.go
@@ -17,14 +17,21 @@
 	// minEstimateMillis is the minimum declared duration. It also stands in for one that is
 	// missing.
 	minEstimateMillis = 50
+	// maxEstimateMillis bounds the declared duration, so that sums along a path do not overflow.
+	maxEstimateMillis = 1e10
 )
 
+// estimateMillis returns the declared duration of a task, in milliseconds.
+func estimateMillis(s *flowpb.Step) int64 {
+	return min(max(0, s.GetEstimateMillis()), maxEstimateMillis)
+}
+
 // durationBiases maps each queue to the mean ratio of actual to declared duration of its tasks.
 type durationBiases map[string]float64
 
 // observe updates the bias of a queue with the duration of a completed run.
 func (m durationBiases) observe(queue string, s *flowpb.Step, took time.Duration) {
-	declared := max(s.GetEstimateMillis(), minEstimateMillis)
+	declared := max(estimateMillis(s), minEstimateMillis)
 	ratio := min(float64(took.Milliseconds())/float64(declared), maxDurationRatio)
 	bias, known := m[queue]
 	if !known {
--- a/internal/flow/engine/job.go
+++ b/internal/flow/engine/job.go
@@ -5,20 +5,65 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
 // Limits on the size of a job, so that one job cannot exhaust an owner's memory.
 const (
 	maxSteps = 1_000
-	maxTasks = 20_000
+	// maxTasks bounds the tasks of one occurrence, and those of all occurrences that are open.
+	maxTasks       = 20_000
+	maxOccurrences = 10_000
+	// maxOpenOccurrences bounds those that are open at a time. Each of their steps is placed by itself.
+	maxOpenOccurrences = 1_000
+	// maxAllTasks bounds the tasks of all occurrences.
+	maxAllTasks = 1_000_000
+	// maxJobBytes bounds the job itself, which is stored in one value with its progress.
+	maxJobBytes = 256 << 10
+)
+
+// Limits on what a task may need and when an occurrence may be due, so that sums do not overflow. No
+// runner has as much, and no job waits as long.
+const (
+	maxMilliCPU     = 1e9
+	maxMemoryMB     = 1 << 40
+	maxAccelerators = 1e6
+	maxUnixMillis   = 1e15
 )
 
 // ErrInvalid is returned for malformed jobs.
 var ErrInvalid = errors.New("engine: invalid job")
 
-// Validate returns an error that wraps ErrInvalid if a job is malformed.
+// Validate returns an error that wraps ErrInvalid if a job is malformed or beyond the limits on new
+// jobs.
 func Validate(def *flowpb.Job) error {
+	if err := validateSteps(def); err != nil {
+		return err
+	}
+	tasks := 0
+	for i, s := range def.GetSteps() {
+		tasks += int(s.GetCount())
+		if s.GetMilliCpu() > maxMilliCPU || s.GetMemoryMb() > maxMemoryMB || s.GetAccelerators() > maxAccelerators {
+			return fmt.Errorf("%w: step %d needs more than any runner has", ErrInvalid, i)
+		}
+	}
+	if n := int(def.GetOccurrences()); n > maxOccurrences || n*tasks > maxAllTasks {
+		return fmt.Errorf("%w: %d occurrences of %d tasks, want at most %d and %d tasks in all", ErrInvalid, n, tasks, maxOccurrences, maxAllTasks)
+	}
+	if start := def.GetStartUnixMillis(); start < -maxUnixMillis || start > maxUnixMillis || def.GetIntervalMillis() > maxUnixMillis {
+		return fmt.Errorf("%w: start or interval is out of range", ErrInvalid)
+	}
+	if size := proto.Size(def); size > maxJobBytes {
+		return fmt.Errorf("%w: %d bytes, want at most %d", ErrInvalid, size, maxJobBytes)
+	}
+	return nil
+}
+
+// validateSteps returns an error that wraps ErrInvalid if the steps of a job are malformed. Jobs that
+// are stored must pass no more than this, since they were accepted under earlier limits.
+func validateSteps(def *flowpb.Job) error {
 	if len(def.GetSteps()) == 0 || len(def.GetSteps()) > maxSteps {
 		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrInvalid, len(def.GetSteps()), maxSteps)
 	}
@@ -43,6 +88,25 @@
 	return nil
 }
 
+// mayBegin reports whether another occurrence may be open beside those that are.
+func (j *job) mayBegin() bool {
+	occurrences, tasks := 0, 0
+	for _, o := range j.occurrences {
+		if !o.done {
+			occurrences++
+			tasks += o.taskCount()
+		}
+	}
+	return occurrences == 0 || occurrences < maxOpenOccurrences && tasks+tasks/occurrences <= maxTasks
+}
+
+func (o *occurrence) taskCount() (n int) {
+	for _, s := range o.steps {
+		n += len(s.tasks)
+	}
+	return n
+}
+
 // isDue reports whether the job is recurring and its next occurrence is due.
 func (j *job) isDue(now Timestamp) bool {
 	return j.def.GetOccurrences() > 0 && j.nextOccurrence < j.occurrenceCount() && now.UnixMillis >= j.dueUnixMillis(j.nextOccurrence)
@@ -66,7 +130,7 @@
 func (o *occurrence) computeCriticalPaths() {
 	for i := len(o.steps) - 1; i >= 0; i-- {
 		s := o.steps[i]
-		s.criticalPathMillis = max(s.criticalPathMillis, 0) + s.def.GetEstimateMillis()
+		s.criticalPathMillis = max(s.criticalPathMillis, 0) + estimateMillis(s.def)
 		for _, a := range s.def.GetAfter() {
 			predecessor := o.steps[a]
 			predecessor.criticalPathMillis = max(predecessor.criticalPathMillis, s.criticalPathMillis)
@@ -175,7 +239,7 @@
 
 // restore rebuilds a job from its stored records, and calls assign for each assignment of a run.
 func restore(def *flowpb.Job, p *flowpb.Progress, now time.Duration, assign func(*task, *flowpb.Assignment)) (j *job, err error) {
-	if err = Validate(def); err != nil {
+	if err = validateSteps(def); err != nil {
 		return nil, err
 	}
 	j = &job{def: def, queue: queueFromTerms(def.GetQueue(), def.GetTerms()), outcome: p.GetOutcome(), durableOutcome: p.GetOutcome(), endedUnixMillis: p.GetEndedUnixMillis(), durable: true, begun: p.GetBegun(), arrivedAt: now}
--- a/internal/flow/engine/learned.go
+++ b/internal/flow/engine/learned.go
@@ -24,13 +24,28 @@
 	return learned
 }
 
-// RestoreLearned restores the parameters that an earlier owner has learned.
+// maxLearned bounds the learned interference, its variance and the biases. None comes near it.
+const maxLearned = 100
+
+// plausible reports whether x can have been learned. A value that is no number would never be corrected.
+func plausible(x float64) bool { return x >= 0 && x <= maxLearned }
+
+// RestoreLearned restores the parameters that an earlier owner has learned, except those that are not
+// plausible.
 func (e *Engine) RestoreLearned(learned *flowpb.Learned) {
-	e.throughput = throughput(learned.GetRate())
+	if rate := learned.GetRate(); rate >= 0 && rate <= maxThroughput {
+		e.throughput = throughput(rate)
+	}
 	for _, p := range learned.GetPairs() {
+		if !plausible(p.GetValue()) || !plausible(p.GetVariance()) {
+			continue
+		}
 		e.interference[imagePair{p.GetServing(), p.GetFilling()}] = &estimate{p.GetValue(), max(p.GetVariance(), interferenceDrift)}
 	}
 	for _, b := range learned.GetBiases() {
+		if !plausible(b.GetFactor()) {
+			continue
+		}
 		e.estimates[b.GetQueue()] = b.GetFactor()
 	}
 }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -1,12 +1,14 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 // Timestamp is a point in time on both the monotonic and the wall clock.
@@ -39,7 +41,7 @@
 }
 
 func queueFromTerms(name string, t *flowpb.Terms) Queue {
-	return Queue{Name: name, Service: t.GetService(), Priority: int(t.GetPriority()), MaxAttempts: int(t.GetMaxAttempts()), Stretch: t.GetStretch(), Target: time.Duration(t.GetTargetMillis()) * time.Millisecond}
+	return Queue{Name: name, Service: t.GetService(), Priority: int(t.GetPriority()), MaxAttempts: int(t.GetMaxAttempts()), Stretch: t.GetStretch(), Target: saturate.Millis(t.GetTargetMillis())}
 }
 
 // job is an accepted job.
@@ -101,12 +103,17 @@
 
 func (j *job) occurrenceCount() int { return max(1, int(j.def.GetOccurrences())) }
 
-// dueUnixMillis returns when an occurrence is due to begin, or 0 if the job is not recurring.
+// dueUnixMillis returns when an occurrence is due to begin, or 0 if the job is not recurring. A time
+// that is too far away for a number is the last one.
 func (j *job) dueUnixMillis(number int) int64 {
 	if j.def.GetOccurrences() == 0 {
 		return 0
 	}
-	return j.def.GetStartUnixMillis() + int64(number)*j.def.GetIntervalMillis()
+	start, interval := j.def.GetStartUnixMillis(), j.def.GetIntervalMillis()
+	if number > 0 && interval > (math.MaxInt64-max(0, start))/int64(number) {
+		return math.MaxInt64
+	}
+	return start + int64(number)*interval
 }
 
 // occurrence is one execution of a job's steps.
@@ -165,9 +172,12 @@
 	if s.def.GetFills() {
 		cpu = 0
 	}
-	return driver.NewResources(cpu, s.def.GetMemoryMb()<<20, s.def.GetAccelerators())
+	return driver.NewResources(cpu, memoryBytes(s.def.GetMemoryMb()), s.def.GetAccelerators())
 }
 
+// memoryBytes returns megabytes in bytes, at most those of maxMemoryMB.
+func memoryBytes(megabytes int64) int64 { return min(megabytes, maxMemoryMB) << 20 }
+
 // latencyCritical reports whether the step's tasks run until stopped and serve users of their
 // own within a latency target.
 func (s *step) latencyCritical() bool { return s.def.GetLasting() && s.def.GetTargetMillis() > 0 }
--- a/internal/flow/engine/order.go
+++ b/internal/flow/engine/order.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 // Attainability is whether the job of a pending step can still meet its objective.
@@ -72,13 +74,18 @@
 func (e *Engine) pendingSteps(now time.Duration) []PendingStep {
 	var steps []PendingStep
 	for _, j := range e.openJobs {
+		// The remaining work takes a pass through all tasks of the job.
+		work := -1.0
 		for _, o := range j.occurrences {
 			if o.done {
 				continue
 			}
 			for _, s := range o.steps {
 				if s.ready && s.remaining > 0 && s.hasPending(now) {
-					steps = append(steps, e.pendingStep(s, now))
+					if work < 0 {
+						work = e.remainingWork(j)
+					}
+					steps = append(steps, e.pendingStep(s, work, now))
 				}
 			}
 		}
@@ -107,18 +114,17 @@
 	return n
 }
 
-// pendingStep computes the ordering properties of a step. The objective of a job counts from its
+// pendingStep computes the ordering properties of a step of a job with the given remaining work. The objective of a job counts from its
 // arrival, that of a recurring job from the start of each occurrence.
-func (e *Engine) pendingStep(s *step, now time.Duration) PendingStep {
+func (e *Engine) pendingStep(s *step, remainingWork float64, now time.Duration) PendingStep {
 	j, o := s.job(), s.occurrence
-	p := PendingStep{step: s, Name: s.name(), Priority: j.queue.Priority, LongRunning: s.def.GetLasting(), Begun: j.begun}
-	p.RemainingWork = e.remainingWork(j)
+	p := PendingStep{step: s, Name: s.name(), Priority: j.queue.Priority, LongRunning: s.def.GetLasting(), Begun: j.begun, RemainingWork: remainingWork}
 	start := j.arrivedAt
 	if j.def.GetOccurrences() > 0 {
 		start = o.startedAt
 	}
-	objective := time.Duration(j.queue.Stretch*e.estimates.expectedMillis(j.queue.Name, o.criticalPathMillis()))*time.Millisecond + j.queue.Target
-	remaining := time.Duration(e.estimates.expectedMillis(j.queue.Name, s.criticalPathMillis)) * time.Millisecond
+	objective := saturate.Of(j.queue.Stretch*e.estimates.expectedMillis(j.queue.Name, o.criticalPathMillis()), time.Millisecond) + j.queue.Target
+	remaining := saturate.Of(e.estimates.expectedMillis(j.queue.Name, s.criticalPathMillis), time.Millisecond)
 	slack := start + objective - now - remaining
 	lateSlack := start + time.Duration(e.options.LateFactor*float64(objective)) - now - remaining
 	switch {
--- a/internal/flow/engine/straggle.go
+++ b/internal/flow/engine/straggle.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 // Straggler handling covers runners that stall or become slow while their reports look healthy. A
@@ -26,6 +28,9 @@
 	slowFactor      = 2.5
 	minSlowdownRuns = 4
 	slowdownWeight  = 0.25
+	// minSlowdown bounds the ratio of one run from below. A run whose start and end are reported at once
+	// took no time at all.
+	minSlowdown = 0.01
 	// moveMaxProgress is the progress, in percent, up to which a run without checkpoints is moved
 	// off its runner.
 	moveMaxProgress = 30
@@ -40,7 +45,7 @@
 
 func (s *slowdown) observe(ratio float64) {
 	s.runs++
-	s.meanLog += max(slowdownWeight, 1/float64(s.runs)) * (math.Log(ratio) - s.meanLog)
+	s.meanLog += max(slowdownWeight, 1/float64(s.runs)) * (math.Log(max(ratio, minSlowdown)) - s.meanLog)
 }
 
 func (s *slowdown) slow() bool { return s.runs >= minSlowdownRuns && s.meanLog > math.Log(slowFactor) }
@@ -48,7 +53,7 @@
 // expectedDuration returns the expected total duration of a run.
 func (e *Engine) expectedDuration(r *run) time.Duration {
 	s := r.task.step
-	return time.Duration(e.estimates.expectedMillis(s.job().queue.Name, s.def.GetEstimateMillis())) * time.Millisecond
+	return saturate.Of(e.estimates.expectedMillis(s.job().queue.Name, estimateMillis(s.def)), time.Millisecond)
 }
 
 // handleStragglers stops stalled runs, starts speculative copies of late ones and ejects runners
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -64,7 +64,7 @@
 }
 
 func (w *worker) capacity() driver.Resources {
-	return driver.NewResources(w.info.GetMilliCpu(), w.info.GetMemoryMb()<<20, w.info.GetAccelerators())
+	return driver.NewResources(w.info.GetMilliCpu(), memoryBytes(w.info.GetMemoryMb()), w.info.GetAccelerators())
 }
 
 // free returns the resources that no live run reserves. Runs that are stopping still reserve
