Follow the owner past a record that names no owner

Cause: an owner record that could not be decoded left a starting entry without any knowledge of the record, so that it neither followed an owner nor took the cell, for good. One with an address that can't be dialled or with an epoch of 2^64-1 was followed; after the takeover from it all processes passed over the new owner's record, whose epoch was lower. A head that could not be decoded kept the cell from being acquired.

Change: a record must name a node, an address with a port and an epoch that an owner can have. Any other leaves the owner that is known, or the cell without one, so that an entry takes it. The next epoch is above that of the known record; if the head can't be read, it is above the time in seconds too, so that runners take the tokens. An owner that finds an unreadable head gives up the cell.

--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -310,7 +310,7 @@
 	defer n.setTakingOver(false)
 	before, _, _ := n.options.Follower.Record()
 	acquireCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
-	fenced, err := owner.Acquire(acquireCtx, n.options.Store, n.options.Clock, n.options.Cell, n.options.Identity, observed)
+	fenced, err := owner.Acquire(acquireCtx, n.options.Store, n.options.Clock, n.options.Cell, n.options.Identity, observed, before)
 	cancel()
 	if err != nil {
 		n.options.Log.Warn("cell acquisition failed", "cell", n.options.Cell, "error", err.Error())
--- a/internal/flow/locate/locate.go
+++ b/internal/flow/locate/locate.go
@@ -144,7 +144,7 @@
 func (f *Follower) Learn(record *flowpb.Owner) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if record.GetAddress() == "" || record.GetEpoch() <= f.record.GetEpoch() {
+	if owner.CheckRecord(record) != nil || record.GetEpoch() <= f.record.GetEpoch() {
 		return
 	}
 	f.set(record)
@@ -158,18 +158,26 @@
 	f.changed = make(chan struct{})
 }
 
-// apply sets the record unless a newer one is known.
+// apply sets the record unless a newer one is known. A record that can't be read names no owner: the one
+// that is known holds, and if none is, the cell has no owner.
 func (f *Follower) apply(item driver.Item) {
 	var record *flowpb.Owner
+	var err error
 	if len(item.Value()) > 0 {
-		record = &flowpb.Owner{}
-		if err := proto.Unmarshal(item.Value(), record); err != nil {
-			f.options.Log.Error("decoding the owner record failed", "revision", item.Revision(), "error", err.Error())
-			return
-		}
+		record, err = owner.DecodeRecord(item.Value())
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err != nil {
+		if item.Revision() > f.revision || !f.known {
+			f.options.Log.Error("unreadable owner record passed over", "revision", item.Revision(), "error", err.Error())
+		}
+		f.revision = max(f.revision, item.Revision())
+		if !f.known {
+			f.set(nil)
+		}
+		return
+	}
 	if f.known && item.Revision() <= f.revision && record != nil {
 		return
 	}
--- /dev/null
+++ b/internal/flow/locate/locate_test.go
@@ -0,0 +1,90 @@
+package locate
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/owner"
+)
+
+// recordStore holds an owner record and its revision.
+type recordStore struct {
+	driver.TxnStore
+	value    []byte
+	revision uint64
+}
+
+func (s *recordStore) List(_ context.Context, key string) ([]driver.Item, uint64, error) {
+	return []driver.Item{driver.NewItem(key, s.value, s.revision)}, s.revision, nil
+}
+
+func (s *recordStore) Changes(_ context.Context, key string, _ uint64, _ time.Duration) ([]driver.Change, uint64, error) {
+	return []driver.Change{{Item: driver.NewItem(key, s.value, s.revision)}}, s.revision, nil
+}
+
+// TestOddRecords checks that an owner record which names no owner leaves the one that is known, or the
+// cell without an owner, so that an entry takes it, and that the next record is followed.
+func TestOddRecords(t *testing.T) {
+	encode := func(epoch uint64, node, address string) []byte {
+		raw, err := proto.Marshal(&flowpb.Owner{Epoch: epoch, Node: node, Address: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	for name, odd := range map[string][]byte{
+		"garbage":             {0xff, 0xff},
+		"deeply nested":       bytes.Repeat([]byte{0x0b}, 1_000_000),
+		"text of bytes":       {0x12, 0x02, 0xff, 0xfe},
+		"port out of range":   encode(9, "e", "10.0.0.1:99999"),
+		"negative port":       encode(9, "e", "10.0.0.1:-1"),
+		"no port":             encode(9, "e", "10.0.0.1"),
+		"epoch too large":     encode(math.MaxUint64, "e", "10.0.0.1:80"),
+		"epoch beyond tokens": encode(1<<50, "e", "10.0.0.1:80"),
+		"no node":             encode(9, "", "10.0.0.1:80"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &recordStore{value: odd, revision: 3}
+			f := New(Options{Cell: "c", Store: s, Clock: func() time.Duration { return time.Hour }, Log: slog.New(slog.DiscardHandler)})
+			key := owner.OwnerKey("c")
+			_, err := f.read(t.Context(), key)
+			is.NoErr(err)
+			record, known, _ := f.Record()
+			is.True(known)
+			is.True(record == nil)
+
+			s.value, s.revision = encode(4, "e-1", "10.0.0.1:80"), 5
+			_, err = f.watch(t.Context(), key, 3)
+			is.NoErr(err)
+			record, _, _ = f.Record()
+			is.Equal(record.GetNode(), "e-1")
+
+			s.value, s.revision = odd, 6
+			after, err := f.watch(t.Context(), key, 5)
+			is.NoErr(err)
+			is.Equal(after, uint64(6))
+			learned := &flowpb.Owner{}
+			if proto.Unmarshal(odd, learned) == nil {
+				f.Learn(learned)
+			}
+			record, _, _ = f.Record()
+			is.Equal(record.GetNode(), "e-1")
+
+			s.value, s.revision = encode(5, "e-2", "10.0.0.2:80"), 7
+			_, err = f.watch(t.Context(), key, 6)
+			is.NoErr(err)
+			record, _, _ = f.Record()
+			is.Equal(record.GetNode(), "e-2")
+		})
+	}
+}
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -88,25 +90,78 @@
 	ring       *joblog.Ring
 }
 
+// maxEpoch is above all epochs that owners use, also those that nextEpoch takes from the time. A higher
+// one was not written by an owner; tokens, which begin with the epoch, would overflow.
+const maxEpoch = 1 << 40
+
+// errImplausible is returned for a record that no owner has written.
+var errImplausible = errors.New("owner: record is not that of an owner")
+
+// DecodeRecord decodes an owner record, and CheckRecord checks one. Both return an error for a record
+// that names no owner which can be reached.
+func DecodeRecord(value []byte) (record *flowpb.Owner, err error) {
+	defer errs.Annotate(&err, "owner: decode owner record")
+	record = &flowpb.Owner{}
+	if err = proto.Unmarshal(value, record); err != nil {
+		return nil, err
+	}
+	if err = CheckRecord(record); err != nil {
+		return nil, err
+	}
+	return record, nil
+}
+
+// CheckRecord checks an owner record, see DecodeRecord.
+func CheckRecord(record *flowpb.Owner) error {
+	_, port, err := net.SplitHostPort(record.GetAddress())
+	if err != nil {
+		return fmt.Errorf("%w: %w", errImplausible, err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("%w: port %.20q", errImplausible, port)
+	}
+	if record.GetNode() == "" || record.GetEpoch() == 0 || record.GetEpoch() >= maxEpoch {
+		return fmt.Errorf("%w: node %.40q, epoch %d", errImplausible, record.GetNode(), record.GetEpoch())
+	}
+	return nil
+}
+
+func decodeHead(value []byte) (head *flowpb.Head, err error) {
+	defer errs.Annotate(&err, "owner: decode head record")
+	head = &flowpb.Head{}
+	if err = proto.Unmarshal(value, head); err != nil {
+		return nil, err
+	}
+	if head.GetEpoch() >= maxEpoch {
+		return nil, fmt.Errorf("%w: epoch %d", errImplausible, head.GetEpoch())
+	}
+	return head, nil
+}
+
+// nextEpoch returns an epoch above those of the head and of the owner record that is known. If the head
+// can't be read, it is also above the time in seconds, which no epoch reaches that is counted up.
+func nextEpoch(head *flowpb.Head, before *flowpb.Owner) uint64 {
+	if head == nil {
+		return max(before.GetEpoch(), uint64(max(0, time.Now().Unix()))) + 1
+	}
+	return max(before.GetEpoch(), head.GetEpoch()) + 1
+}
+
 // Acquire makes the process the owner of a cell, unless the head has changed since the observed
-// revision, on which the decision to take over was based.
-func Acquire(ctx context.Context, store driver.TxnStore, clock steady.Clock, cell string, identity Identity, observed uint64) (f *FencedStore, err error) {
+// revision, on which the decision to take over was based. before is the newest owner record that the
+// process knows of, or nil.
+func Acquire(ctx context.Context, store driver.TxnStore, clock steady.Clock, cell string, identity Identity, observed uint64, before *flowpb.Owner) (f *FencedStore, err error) {
 	defer errs.Annotate(&err, "owner: acquire cell %s", cell)
-	head := &flowpb.Head{}
 	item, err := store.Get(ctx, HeadKey(cell))
-	switch {
-	case errors.Is(err, driver.ErrNotFound):
-	case err != nil:
+	if err != nil && !errors.Is(err, driver.ErrNotFound) {
 		return nil, err
-	default:
-		if err = proto.Unmarshal(item.Value(), head); err != nil {
-			return nil, fmt.Errorf("decode head record: %w", err)
-		}
 	}
 	if item.Revision() != observed {
 		return nil, ErrDeposed
 	}
-	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: head.GetEpoch() + 1, revision: item.Revision(), ring: joblog.NewRing(ringLength)}
+	// A head that can't be read is not an owner's.
+	head, _ := decodeHead(item.Value())
+	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: nextEpoch(head, before), revision: item.Revision(), ring: joblog.NewRing(ringLength)}
 	f.acquiredAt, err = f.commit(ctx, []driver.Put{{Key: OwnerKey(cell), Value: f.ownerRecord(false)}}, nil)
 	if err != nil {
 		return nil, err
@@ -331,11 +386,7 @@
 	if err != nil {
 		return 0, err
 	}
-	found := &flowpb.Head{}
-	if err = proto.Unmarshal(item.Value(), found); err != nil {
-		return 0, fmt.Errorf("decode head record: %w", err)
-	}
-	if !proto.Equal(found, head) {
+	if found, err := decodeHead(item.Value()); err != nil || !proto.Equal(found, head) {
 		return 0, ErrDeposed
 	}
 	return item.Revision(), nil
--- a/internal/flow/owner/store_test.go
+++ b/internal/flow/owner/store_test.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -67,7 +69,7 @@
 	if _, exists := s.items[HeadKey("c")]; exists {
 		head = s.revision
 	}
-	f, err := Acquire(context.Background(), s, func() time.Duration { return time.Hour }, "c", Identity{Node: "e"}, head)
+	f, err := Acquire(context.Background(), s, func() time.Duration { return time.Hour }, "c", Identity{Node: "e"}, head, nil)
 	is.NoErr(err)
 	stored, err := f.Load(context.Background())
 	is.NoErr(err)
@@ -159,3 +161,23 @@
 	is.Equal(stored.States["j00"].GetOutcome(), flowpb.Outcome_OUTCOME_FAILED)
 	is.Equal(stored.Open["j01"].Progress.GetOccurrences()[0].GetTasks()[0].GetRun(), uint32(3))
 }
+
+// TestUnreadableHead checks that a head which can't be read, or an epoch in it that no owner has, does not
+// leave the cell without an owner for good, and that the next epoch is above all that were used.
+func TestUnreadableHead(t *testing.T) {
+	is := is.New(t)
+	for _, head := range [][]byte{{0xff, 0xff}, bytes.Repeat([]byte{0x0b}, 1_000_000), marshal(&flowpb.Head{Epoch: math.MaxUint64}), marshal(&flowpb.Head{Epoch: 1 << 50})} {
+		s := &mapStore{t: t, items: map[string][]byte{HeadKey("c"): head}, revision: 5}
+		f, err := Acquire(context.Background(), s, func() time.Duration { return time.Hour }, "c", Identity{Node: "e", Address: "127.0.0.1:1"}, 5, &flowpb.Owner{Epoch: 7})
+		is.NoErr(err)
+		is.True(f.Epoch() > 7 && f.Epoch() < maxEpoch)
+		found, err := decodeHead(s.items[HeadKey("c")])
+		is.NoErr(err)
+		is.Equal(found.GetEpoch(), f.Epoch())
+	}
+	// Followers would pass over a record with a lower epoch than that of the one before.
+	s := &mapStore{t: t, items: map[string][]byte{HeadKey("c"): marshal(&flowpb.Head{Epoch: 3})}, revision: 5}
+	f, err := Acquire(context.Background(), s, func() time.Duration { return time.Hour }, "c", Identity{Node: "e"}, 5, &flowpb.Owner{Epoch: 90})
+	is.NoErr(err)
+	is.Equal(f.Epoch(), uint64(91))
+}
