--- a/internal/flow/entry/call.go
+++ b/internal/flow/entry/call.go
@@ -48,8 +48,14 @@
 }
 
 // Call forwards a call to the owner of the cell. It retries at a new owner after a takeover, since
-// all calls are idempotent by the job's id.
+// all calls are idempotent by the job's id. A job that the owner would refuse is not sent: one that is
+// too large for a frame would end the session.
 func (n *Node) Call(ctx context.Context, call *flowpb.Call) (r *flowpb.Reply, err error) {
+	if def := call.GetSubmit(); def != nil {
+		if err := engine.Validate(def); err != nil {
+			return &flowpb.Reply{Status: flowpb.Status_STATUS_INVALID, Detail: err.Error()}, nil
+		}
+	}
 	sent, triedStore := false, false
 	waitingSince := time.Now()
 	for {
@@ -93,9 +99,6 @@
 	store, cell := n.options.Store, n.options.Cell
 	ok := &flowpb.Reply{Status: flowpb.Status_STATUS_OK}
 	if def := call.GetSubmit(); def != nil {
-		if err := engine.Validate(def); err != nil {
-			return &flowpb.Reply{Status: flowpb.Status_STATUS_INVALID, Detail: err.Error()}, nil
-		}
 		if err = owner.EnqueueJob(ctx, store, cell, def); err != nil {
 			return nil, err
 		}
