Limit the runs of one job and of one worker

Cause: any number of tasks that need nothing fits a runner. A job of 20,000 of them was placed on one worker in one round: its starts made a frame of 80 MB, at which the agent ends its session, and its full record with a checkpoint for each task took 1,364,085 bytes, which the store refuses. The owner gives up the cell at such a refusal, and the next one restores the job and does the same.

Change: a worker has at most 400 runs and a job 8,000 at a time.

Measured: TestJobOfManySmallTasks failed before at the frame; the sizes above were printed by the same test on the code before. All scripts of the engine and the experiments pass unchanged.

--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -225,6 +225,7 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i:i], t.runs[i+1:]...)
+			t.step.job().liveRuns--
 			break
 		}
 	}
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -119,6 +119,7 @@
 		w := e.worker(a.GetNode())
 		r := &run{task: t, number: a.GetRun(), phase: phaseSent, batched: true, sentAt: now.Monotonic, reserved: t.step.resources(), pace: 100, milliCPU: t.step.def.GetMilliCpu(), incarnation: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
 		t.runs = append(t.runs, r)
+		t.step.job().liveRuns++
 		w.attach(r)
 	})
 	if err != nil {
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -61,6 +61,8 @@
 	// begun is set once a run of the job has started.
 	begun       bool
 	occurrences []*occurrence
+	// liveRuns counts the runs of all its tasks.
+	liveRuns int
 	// nextOccurrence is the number of the next occurrence to begin.
 	nextOccurrence int
 	arrivedAt      time.Duration
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -58,6 +58,15 @@
 	return candidates
 }
 
+// Limits on tasks that need little or nothing, of which any number would fit.
+const (
+	// maxWorkerRuns bounds the runs on a worker. Their starts, with specifications of 4,000 bytes, must
+	// fit a frame, since the agent ends its session at a larger one.
+	maxWorkerRuns = 400
+	// maxLiveRuns bounds the runs of a job. Its full record, which lists them, must fit a value.
+	maxLiveRuns = 8_000
+)
+
 // placeStep places the pending tasks of a step until no candidate fits any more. Only steps of the
 // highest priority and long-running steps preempt others.
 func (e *Engine) placeStep(p PendingStep, candidates []*candidate, now time.Duration) {
@@ -72,6 +81,9 @@
 		if !t.pending(now) {
 			continue
 		}
+		if s.job().liveRuns >= maxLiveRuns {
+			return
+		}
 		best := e.bestCandidate(t, scored)
 		if best == nil {
 			noCandidate = true
@@ -242,7 +254,7 @@
 // feasible reports whether a task of the step may run on a candidate and fits in its free
 // resources, which may be held for another step. Best-effort tasks take nothing that is held.
 func (e *Engine) feasible(s *step, c *candidate, now time.Duration) bool {
-	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now)
+	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && c.worker.runs.len() < maxWorkerRuns && e.eligible(s, c.worker, now)
 }
 
 // eligible reports whether a task of the step may run on a worker if there is room. It checks the
@@ -381,6 +393,7 @@
 	r := &run{task: t, number: number, reserved: s.resources(), pace: 100, milliCPU: s.def.GetMilliCpu(), incarnation: c.worker.info, checkpoint: t.checkpoint, progressedAt: now}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
+	s.job().liveRuns++
 	c.worker.attach(r)
 	e.markDirty(s.job())
 	e.options.Log.Info("task placed", "task", t.name(), "run", number, "node", c.worker.node, "wait-ms", (now - t.waitingSince).Milliseconds(), "resumes", t.checkpoint != "", "report-age-ms", (now - c.worker.reportedAt).Milliseconds())
--- a/internal/flow/engine/straggle.go
+++ b/internal/flow/engine/straggle.go
@@ -98,7 +98,7 @@
 func (e *Engine) speculate(r *run, now time.Duration) {
 	t := r.task
 	duration := e.expectedDuration(r)
-	if e.options.Policy.NoSpeculation || len(t.runs) != 1 || now-r.startedAt < time.Duration(speculationFactor*float64(duration)) {
+	if e.options.Policy.NoSpeculation || len(t.runs) != 1 || t.step.job().liveRuns >= maxLiveRuns || now-r.startedAt < time.Duration(speculationFactor*float64(duration)) {
 		return
 	}
 	if r.progressPercent > 0 && time.Duration(float64(now-r.startedAt)*float64(fullPace-r.progressPercent)/float64(r.progressPercent)) < duration {
--- a/internal/flow/owner/store_test.go
+++ b/internal/flow/owner/store_test.go
@@ -11,10 +11,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/engine"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/flow/link"
+	"github.com/jasminebay/jasminebay/internal/peer"
 )
 
 // mapStore is a store without other writers. It checks that transactions are not larger than the
@@ -181,3 +184,54 @@
 	is.NoErr(err)
 	is.Equal(f.Epoch(), uint64(91))
 }
+
+// TestJobOfManySmallTasks checks that a job of tasks which need nothing, so that any number of them would
+// fit a runner, stays within the limits of what is stored and sent: an owner that can't store a record
+// gives up the cell, and so does the next one, and an agent ends its session at a frame that is too large.
+func TestJobOfManySmallTasks(t *testing.T) {
+	is := is.New(t)
+	now := engine.Timestamp{Monotonic: time.Hour, UnixMillis: 1_000_000}
+	e := engine.New(engine.Options{Epoch: 1, AcquiredAt: now.Monotonic, Lease: 4 * time.Second, Retention: time.Hour, Log: slog.New(slog.DiscardHandler)})
+	e.SetGrantUntil(now.Monotonic + time.Hour)
+	reports := map[string]*flowpb.Report{}
+	for i := range 40 {
+		node := fmt.Sprintf("side-zuerich-a-%06d", i)
+		runner := &flowpb.Runner{Id: fmt.Sprintf("i-%08x", i), Born: 1_700_000_000_000, Service: "hub", MilliCpu: 16_000, MemoryMb: 64_000}
+		e.Connect(node)
+		e.Sync(node, &flowpb.Sync{Runner: runner}, now)
+		reports[node] = &flowpb.Report{Token: e.TakeEffects().Orders[node].GetToken(), Runner: runner, Listed: true}
+		e.Report(node, reports[node], now)
+	}
+	job := func(id string, count uint32) *flowpb.Job {
+		return &flowpb.Job{Id: id, Queue: "q", Spec: strings.Repeat("x", 4000), Terms: &flowpb.Terms{Service: "hub", Stretch: 2}, Steps: []*flowpb.Step{{Count: count}}}
+	}
+	e.Submit(1, job("5c0e7a21d94b36f8", 20_000), now)
+	started := 0
+	for round := range uint64(5) {
+		// Another job makes a commit due, in which the ring asks for a full record of the first.
+		e.Submit(round, job(fmt.Sprintf("%016x", round), 1), now)
+		e.Place(now)
+		for b := e.TakeBatch(BatchLimits(), []string{"5c0e7a21d94b36f8"}); b != nil; b = e.TakeBatch(BatchLimits(), nil) {
+			segment := &flowpb.Segment{}
+			for _, c := range b.Changes() {
+				if c.Record != nil {
+					segment.Jobs = append(segment.Jobs, c.Record)
+				}
+			}
+			is.True(proto.Size(segment) < driver.StoreMaxValueBytes)
+			e.Committed(b, now)
+		}
+		for node, orders := range e.TakeEffects().Orders {
+			is.True(proto.Size(link.Orders(orders)) < peer.FrameMaxBytes)
+			for _, s := range orders.GetStarts() {
+				started++
+				reports[node].Running = append(reports[node].Running, &flowpb.Run{Task: s.GetTask(), Run: s.GetRun(), Checkpoint: "00000bb87a21d94b"})
+			}
+		}
+		for node, r := range reports {
+			r.Sequence++
+			e.Report(node, r, now)
+		}
+	}
+	is.True(started > 5000)
+}
