Pause between polls that a runner answers at once

Cause: a poll is delayed by the runner until a run ends. A runner that answers at once without ends that count, for example because its list holds an end that can't be read and so is never acknowledged, was polled without a pause, and so was a runner without a lease to extend.

--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -197,3 +198,32 @@
 	stop()
 	<-done
 }
+
+// eagerRunner answers each poll at once, and counts them.
+type eagerRunner struct {
+	driver.Runner
+	polls atomic.Int64
+}
+
+func (r *eagerRunner) Hold(_ context.Context, at driver.RunnerID, _ driver.HoldRequest) (driver.HoldReport, error) {
+	r.polls.Add(1)
+	return driver.HoldReport{Runner: at, Clock: 1}, nil
+}
+
+// TestPollsAreSpaced checks that a runner which answers polls at once, such as one with an end in its list
+// that can't be read and so is never acknowledged, is not polled without a pause.
+func TestPollsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a, _ := connectedAgent(is, t, &now)
+	runner := &eagerRunner{}
+	a.options.Runner, a.state.tokenConfirmed = runner, true
+	ctx, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer stop()
+	done := loop.Go(ctx, a.loop.Run)
+	a.pollRunner(ctx)
+	<-done
+	t.Logf("%d polls", runner.polls.Load())
+	is.True(runner.polls.Load() > 1)
+	is.True(runner.polls.Load() <= int64(300*time.Millisecond/pollRetryPause)+1)
+}
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -59,6 +59,9 @@
 			loop.Pause(ctx, pollRetryPause)
 		case unacknowledged:
 			a.awaitWake(ctx, acknowledgeWait)
+		case a.options.Clock()-began < pollRetryPause:
+			// The runner had nothing to wait for, or has an end that can't be read.
+			a.awaitWake(ctx, pollRetryPause)
 		}
 	}
 }
