Leave an unreadable item out of the older store's lists

Cause: the client of the key-value service decoded a list as a whole, so that one odd item kept an entry from reading which others are registered.

--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -24,8 +24,8 @@
 	workerTimeout = 2 * time.Second
 )
 
-func provideStore(s *settings.Entry) driver.Store {
-	return kv.New(kv.Options{Address: s.Store, Timeout: storeTimeout})
+func provideStore(s *settings.Entry, log *slog.Logger) driver.Store {
+	return kv.New(kv.Options{Address: s.Store, Timeout: storeTimeout, Log: log})
 }
 
 func provideHolder(s *settings.Entry) *config.Holder { return config.NewHolder(s.Environment) }
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -19,7 +19,7 @@
 
 // NewEntry constructs an entry with its dependencies.
 func NewEntry(s *settings.Entry, log *slog.Logger) *entry.Entry {
-	store := provideStore(s)
+	store := provideStore(s, log)
 	holder := provideHolder(s)
 	placer := providePlacer(holder)
 	metrics := telemetry.NewMetrics()
--- a/internal/driver/kv/kv.go
+++ b/internal/driver/kv/kv.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,6 +21,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/errs"
+	"github.com/jasminebay/jasminebay/internal/lenient"
 )
 
 // HeaderRevision is the header with the revision of a key or of the store.
@@ -49,12 +51,15 @@
 	Timeout time.Duration
 	// Transport carries the requests; nil means HTTP over TCP.
 	Transport http.RoundTripper
+	// Log may be nil.
+	Log *slog.Logger
 }
 
 // Client implements driver.Store; it is safe for concurrent use.
 type Client struct {
 	options Options
 	http    *http.Client
+	log     *lenient.Log
 }
 
 // New returns a Client.
@@ -64,7 +69,10 @@
 		t.MaxIdleConnsPerHost = 16
 		o.Transport = t
 	}
-	return &Client{options: o, http: &http.Client{Transport: o.Transport}}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Client{options: o, http: &http.Client{Transport: o.Transport}, log: lenient.NewLog(o.Log)}
 }
 
 var _ driver.Store = (*Client)(nil)
@@ -83,7 +91,9 @@
 	return driver.NewItem(key, body, revision), nil
 }
 
-// List implements driver.Store.
+var errWrongKey = errors.New("key was not asked for")
+
+// List implements driver.Store. An item that can't be read is left out.
 func (c *Client) List(ctx context.Context, prefix string) (items []driver.Item, revision uint64, err error) {
 	defer errs.Annotate(&err, "kv: list %s", prefix)
 	body, h, err := c.call(ctx, http.MethodGet, "/v1/keys?prefix="+url.QueryEscape(prefix), nil, nil)
@@ -94,14 +104,17 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	var list []ItemJSON
-	if err = json.Unmarshal(body, &list); err != nil {
-		return nil, 0, err
-	}
-	for _, i := range list {
-		items = append(items, driver.NewItem(i.Key, i.Value, i.Revision))
-	}
-	return items, revision, nil
+	items, err = lenient.List(body, func(raw json.RawMessage) (driver.Item, error) {
+		var i ItemJSON
+		if err := json.Unmarshal(raw, &i); err != nil {
+			return driver.Item{}, err
+		}
+		if !strings.HasPrefix(i.Key, prefix) {
+			return driver.Item{}, errWrongKey
+		}
+		return driver.NewItem(i.Key, i.Value, i.Revision), nil
+	}, func(raw json.RawMessage, err error) { c.log.LeftOut(prefix, string(raw), err) })
+	return items, revision, err
 }
 
 // CompareAndSwap implements driver.Store.
--- a/internal/driver/kv/kv_test.go
+++ b/internal/driver/kv/kv_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/driver/kv"
@@ -97,3 +99,20 @@
 	}
 	return "other: " + err.Error()
 }
+
+// TestListWithOddItems checks that an item that can't be read does not make the others of a list unreadable:
+// the registry of entries is one list.
+func TestListWithOddItems(t *testing.T) {
+	is := is.New(t)
+	deep := strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(kv.HeaderRevision, "9")
+		_, _ = w.Write([]byte(`[{"key":"p/a","value":"MQ==","revision":3},{"key":"p/b","value":"*"},{"key":"p/c","value":` + deep + `},{"key":"p/d","revision":1e400},7,{"key":"q"},{"key":"p/z","value":"Mg==","revision":5}]`))
+	}))
+	defer server.Close()
+	items, revision, err := kv.New(kv.Options{Address: server.URL, Timeout: time.Second}).List(t.Context(), "p/")
+	is.NoErr(err)
+	is.Equal(revision, uint64(9))
+	is.Equal(len(items), 2)
+	is.Equal(items[1].Key(), "p/z")
+}
