Pass over registrations of entries that are not their own

Cause: an item of the registry of entries under another key than that of the entry it names replaced that entry's address, and one without an id or with a port out of range was dialled.

Change: such items name no entry.

--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
@@ -108,8 +110,8 @@
 	live := map[string]*peerpb.EntryAddress{e.options.ID: e.address()}
 	instances := map[string]string{e.options.ID: e.instance}
 	for _, item := range items {
-		var r registration
-		if json.Unmarshal(item.Value(), &r) != nil || r.ID == e.options.ID {
+		r, ok := decodeRegistration(item)
+		if !ok || r.ID == e.options.ID {
 			continue
 		}
 		live[r.ID] = &peerpb.EntryAddress{Id: r.ID, DataCentre: r.DataCentre, Address: r.Address, PeerAddress: r.PeerAddress}
@@ -122,6 +124,20 @@
 	return nil
 }
 
+// decodeRegistration decodes a registration. One that is not under the key of its entry, or has a port
+// that there can't be, names no entry: it would take the place of another one.
+func decodeRegistration(item driver.Item) (r registration, ok bool) {
+	if json.Unmarshal(item.Value(), &r) != nil || r.ID == "" || item.Key() != registryPrefix+r.ID {
+		return r, false
+	}
+	_, port, err := net.SplitHostPort(r.PeerAddress)
+	if err != nil {
+		return r, true
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return r, err == nil && number > 0
+}
+
 // replaceLiveEntries sets the live entries, keeping those with a live session; it runs on the
 // loop.
 func (e *Entry) replaceLiveEntries(live map[string]*peerpb.EntryAddress, instances map[string]string) {
