Pass over segments that no owner has written

Cause: a segment under any key and with any number was taken for one of the ring. One with the number 2^64-1 made the next commits start again at 0 and write over records of open jobs that are still needed.

Change: a segment must be under the key of its number, and the number must be one that can be reached.

Measured: TestOddSegments failed before with 1 unreadable item in place of 3.

--- a/internal/flow/owner/inbox_test.go
+++ b/internal/flow/owner/inbox_test.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"bytes"
 	"context"
+	"math"
 	"strings"
 	"testing"
 
@@ -64,6 +66,28 @@
 	is.Equal(stored.Revision, uint64(7))
 }
 
+// TestOddSegments checks that a segment which no owner has written, with a number that is too large or under
+// the key of another one, is passed over. The ring would go on from its number and write over records
+// that are still needed.
+func TestOddSegments(t *testing.T) {
+	is := is.New(t)
+	segment := func(sequence uint64, id string) []byte {
+		return marshal(&flowpb.Segment{Sequence: sequence, Jobs: []*flowpb.JobRecord{{Id: id, Job: &flowpb.Job{Id: id}, Progress: &flowpb.Progress{}}}})
+	}
+	s := &listOnlyStore{items: map[string][]byte{
+		"c" + prefixState + "a": marshal(&flowpb.Progress{}), "c" + prefixState + "b": marshal(&flowpb.Progress{}),
+		"c" + prefixSegment + "005": segment(5, "a"), "c" + prefixSegment + "127": segment(math.MaxUint64, "b"),
+		"c" + prefixSegment + "x": segment(9, "b"), "c" + prefixSegment + "007": bytes.Repeat([]byte{0x0b}, 1_000_000),
+	}}
+	f := &FencedStore{store: s, cell: "c"}
+	stored, err := f.Load(context.Background())
+	is.NoErr(err)
+	is.Equal(len(stored.Unreadable), 3)
+	is.Equal(len(stored.Open), 1)
+	next, _ := f.ring.Next()
+	is.Equal(next, uint64(6))
+}
+
 // TestReadWhileTakenIn checks that a job is found if the owner moves it out of the inbox between
 // the two reads.
 func TestReadWhileTakenIn(t *testing.T) {
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -53,6 +53,12 @@
 	commitRetryPause = 60 * time.Millisecond
 )
 
+// maxSequence is above the numbers of all segments that owners write.
+const maxSequence = 1 << 62
+
+// segmentKey returns the key, within the cell, of the segment at an index of the ring.
+func segmentKey(index int) string { return fmt.Sprintf("%s%03d", prefixSegment, index) }
+
 // BatchLimits returns the limits of what one commit holds.
 func BatchLimits() engine.BatchLimits {
 	return engine.BatchLimits{Entries: commitEntries, RecordBytes: maxRecordBytes}
@@ -94,8 +100,8 @@
 // one was not written by an owner; tokens, which begin with the epoch, would overflow.
 const maxEpoch = 1 << 40
 
-// errImplausible is returned for a record that no owner has written.
-var errImplausible = errors.New("owner: record is not that of an owner")
+// errImplausible is returned for an item that no owner has written.
+var errImplausible = errors.New("owner: not written by an owner")
 
 // DecodeRecord decodes an owner record, and CheckRecord checks one. Both return an error for a record
 // that names no owner which can be reached.
@@ -273,7 +279,14 @@
 	case strings.HasPrefix(key, prefixState):
 		return decodeInto(s.States, strings.TrimPrefix(key, prefixState), value, &flowpb.Progress{})
 	case strings.HasPrefix(key, prefixSegment):
-		return decodeInto(s.segments, strings.TrimPrefix(key, prefixSegment), value, &flowpb.Segment{})
+		segment := &flowpb.Segment{}
+		if err := proto.Unmarshal(value, segment); err != nil {
+			return err
+		}
+		if sequence := segment.GetSequence(); sequence >= maxSequence || key != segmentKey(int(sequence%ringLength)) {
+			return fmt.Errorf("%w: segment %d", errImplausible, sequence)
+		}
+		s.segments[key] = segment
 	case strings.HasPrefix(key, prefixSeparateJob):
 		return decodeInto(s.separateJobs, strings.TrimPrefix(key, prefixSeparateJob), value, &flowpb.Job{})
 	case strings.HasPrefix(key, prefixSeparateProgress):
@@ -318,7 +331,7 @@
 		}
 	}
 	if len(segment.GetJobs()) > 0 {
-		puts = append(puts, driver.Put{Key: fmt.Sprintf("%s%s%03d", f.cell, prefixSegment, index), Value: marshal(segment)})
+		puts = append(puts, driver.Put{Key: f.cell + segmentKey(index), Value: marshal(segment)})
 	}
 	if confirmed, err = f.commit(ctx, puts, deletes); err != nil {
 		return 0, err
