--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -115,3 +115,13 @@
 		}
 	})
 }
+
+// TestDeepNesting checks that a document that is nested a million deep is refused, wherever that is.
+func TestDeepNesting(t *testing.T) {
+	deep := strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000)
+	for _, text := range []string{deep, `{"x":` + deep + `}`, strings.Repeat(`{"services":`, 1_000_000)} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Fatal("accepted")
+		}
+	}
+}
