--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/flow/link"
+	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
@@ -157,3 +160,70 @@
 	order, _, _ = a.nextPoll()
 	is.Equal(order.Acknowledged, uint64(0))
 }
+
+// namedRunner is a runner that answers to its id alone.
+type namedRunner struct {
+	driver.Runner
+	id string
+}
+
+func (r namedRunner) Hold(_ context.Context, at driver.RunnerID, _ driver.HoldRequest) (report driver.HoldReport, err error) {
+	if at.ID != r.id {
+		return report, driver.ErrWrongIncarnation
+	}
+	return report, driver.ErrFenced
+}
+
+// TestAnnouncementOfAnotherRunner checks that an announcement under an id to which the runner does not
+// answer leaves the known runner. The owner would take its runs for lost and start them elsewhere,
+// while they go on.
+func TestAnnouncementOfAnotherRunner(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a, _ := connectedAgent(is, t, &now)
+	ctx, stop := context.WithCancel(t.Context())
+	a.ctx, a.options.Runner = ctx, namedRunner{id: "i-1"}
+	done := loop.Go(ctx, a.loop.Run)
+	announce := func(id string, born int64) (known *flowpb.Runner) {
+		a.SetRunner(&flowpb.Runner{Id: id, Born: born, MilliCpu: 4})
+		is.NoErr(a.loop.Do(func() {}))
+		a.orders.Wait()
+		is.NoErr(a.loop.Do(func() { known = a.state.runner }))
+		return known
+	}
+	is.Equal(announce("odd", 5).GetId(), "i-1")
+	is.Equal(announce("i-1", 2000).GetBorn(), int64(2000))
+	is.NoErr(a.loop.Do(func() { a.options.Runner = namedRunner{id: "i-2"} }))
+	is.Equal(announce("i-2", 3000).GetId(), "i-2")
+	stop()
+	<-done
+}
+
+// eagerRunner answers each poll at once, and counts them.
+type eagerRunner struct {
+	driver.Runner
+	polls atomic.Int64
+}
+
+func (r *eagerRunner) Hold(_ context.Context, at driver.RunnerID, _ driver.HoldRequest) (driver.HoldReport, error) {
+	r.polls.Add(1)
+	return driver.HoldReport{Runner: at, Clock: 1}, nil
+}
+
+// TestPollsAreSpaced checks that a runner which answers polls at once, such as one with an end in its list
+// that can't be read and so is never acknowledged, is not polled without a pause.
+func TestPollsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a, _ := connectedAgent(is, t, &now)
+	runner := &eagerRunner{}
+	a.options.Runner, a.state.tokenConfirmed = runner, true
+	ctx, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer stop()
+	done := loop.Go(ctx, a.loop.Run)
+	a.pollRunner(ctx)
+	<-done
+	t.Logf("%d polls", runner.polls.Load())
+	is.True(runner.polls.Load() > 1)
+	is.True(runner.polls.Load() <= int64(300*time.Millisecond/pollRetryPause)+1)
+}
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
+	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 const (
@@ -118,12 +119,13 @@
 		w := e.worker(a.GetNode())
 		r := &run{task: t, number: a.GetRun(), phase: phaseSent, batched: true, sentAt: now.Monotonic, reserved: t.step.resources(), pace: 100, milliCPU: t.step.def.GetMilliCpu(), incarnation: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
 		t.runs = append(t.runs, r)
+		t.step.job().liveRuns++
 		w.attach(r)
 	})
 	if err != nil {
 		return err
 	}
-	j.arrivedAt = now.Monotonic - time.Duration(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))*time.Millisecond
+	j.arrivedAt = now.Monotonic - saturate.Millis(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))
 	j.storedState = stateOf(state)
 	e.jobs[j.id()] = j
 	if j.open() {
@@ -276,7 +278,8 @@
 	}
 }
 
-// beginDueOccurrences begins all occurrences that are due.
+// beginDueOccurrences begins all occurrences that are due, of each job as many as may be open at a
+// time.
 func (e *Engine) beginDueOccurrences(now Timestamp) {
 	due := map[string]*job{}
 	for id, j := range e.openJobs {
@@ -286,9 +289,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(due)) {
 		j := due[id]
-		for j.isDue(now) {
+		for j.isDue(now) && j.mayBegin() {
 			o := newOccurrence(j, j.nextOccurrence, now.Monotonic)
-			o.startedAt = now.Monotonic - time.Duration(now.UnixMillis-j.dueUnixMillis(j.nextOccurrence))*time.Millisecond
+			o.startedAt = now.Monotonic - saturate.Millis(now.UnixMillis-j.dueUnixMillis(j.nextOccurrence))
 			o.advance(now.Monotonic)
 			j.occurrences = append(j.occurrences, o)
 			j.nextOccurrence++
--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -51,6 +53,12 @@
 	commitRetryPause = 60 * time.Millisecond
 )
 
+// maxSequence is above the numbers of all segments that owners write.
+const maxSequence = 1 << 62
+
+// segmentKey returns the key, within the cell, of the segment at an index of the ring.
+func segmentKey(index int) string { return fmt.Sprintf("%s%03d", prefixSegment, index) }
+
 // BatchLimits returns the limits of what one commit holds.
 func BatchLimits() engine.BatchLimits {
 	return engine.BatchLimits{Entries: commitEntries, RecordBytes: maxRecordBytes}
@@ -88,25 +96,78 @@
 	ring       *joblog.Ring
 }
 
+// maxEpoch is above all epochs that owners use, also those that nextEpoch takes from the time. A higher
+// one was not written by an owner; tokens, which begin with the epoch, would overflow.
+const maxEpoch = 1 << 40
+
+// errImplausible is returned for an item that no owner has written.
+var errImplausible = errors.New("owner: not written by an owner")
+
+// DecodeRecord decodes an owner record, and CheckRecord checks one. Both return an error for a record
+// that names no owner which can be reached.
+func DecodeRecord(value []byte) (record *flowpb.Owner, err error) {
+	defer errs.Annotate(&err, "owner: decode owner record")
+	record = &flowpb.Owner{}
+	if err = proto.Unmarshal(value, record); err != nil {
+		return nil, err
+	}
+	if err = CheckRecord(record); err != nil {
+		return nil, err
+	}
+	return record, nil
+}
+
+// CheckRecord checks an owner record, see DecodeRecord.
+func CheckRecord(record *flowpb.Owner) error {
+	_, port, err := net.SplitHostPort(record.GetAddress())
+	if err != nil {
+		return fmt.Errorf("%w: %w", errImplausible, err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("%w: port %.20q", errImplausible, port)
+	}
+	if record.GetNode() == "" || record.GetEpoch() == 0 || record.GetEpoch() >= maxEpoch {
+		return fmt.Errorf("%w: node %.40q, epoch %d", errImplausible, record.GetNode(), record.GetEpoch())
+	}
+	return nil
+}
+
+func decodeHead(value []byte) (head *flowpb.Head, err error) {
+	defer errs.Annotate(&err, "owner: decode head record")
+	head = &flowpb.Head{}
+	if err = proto.Unmarshal(value, head); err != nil {
+		return nil, err
+	}
+	if head.GetEpoch() >= maxEpoch {
+		return nil, fmt.Errorf("%w: epoch %d", errImplausible, head.GetEpoch())
+	}
+	return head, nil
+}
+
+// nextEpoch returns an epoch above those of the head and of the owner record that is known. If the head
+// can't be read, it is also above the time in seconds, which no epoch reaches that is counted up.
+func nextEpoch(head *flowpb.Head, before *flowpb.Owner) uint64 {
+	if head == nil {
+		return max(before.GetEpoch(), uint64(max(0, time.Now().Unix()))) + 1
+	}
+	return max(before.GetEpoch(), head.GetEpoch()) + 1
+}
+
 // Acquire makes the process the owner of a cell, unless the head has changed since the observed
-// revision, on which the decision to take over was based.
-func Acquire(ctx context.Context, store driver.TxnStore, clock steady.Clock, cell string, identity Identity, observed uint64) (f *FencedStore, err error) {
+// revision, on which the decision to take over was based. before is the newest owner record that the
+// process knows of, or nil.
+func Acquire(ctx context.Context, store driver.TxnStore, clock steady.Clock, cell string, identity Identity, observed uint64, before *flowpb.Owner) (f *FencedStore, err error) {
 	defer errs.Annotate(&err, "owner: acquire cell %s", cell)
-	head := &flowpb.Head{}
 	item, err := store.Get(ctx, HeadKey(cell))
-	switch {
-	case errors.Is(err, driver.ErrNotFound):
-	case err != nil:
+	if err != nil && !errors.Is(err, driver.ErrNotFound) {
 		return nil, err
-	default:
-		if err = proto.Unmarshal(item.Value(), head); err != nil {
-			return nil, fmt.Errorf("decode head record: %w", err)
-		}
 	}
 	if item.Revision() != observed {
 		return nil, ErrDeposed
 	}
-	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: head.GetEpoch() + 1, revision: item.Revision(), ring: joblog.NewRing(ringLength)}
+	// A head that can't be read is not an owner's.
+	head, _ := decodeHead(item.Value())
+	f = &FencedStore{store: store, clock: clock, cell: cell, identity: identity, epoch: nextEpoch(head, before), revision: item.Revision(), ring: joblog.NewRing(ringLength)}
 	f.acquiredAt, err = f.commit(ctx, []driver.Put{{Key: OwnerKey(cell), Value: f.ownerRecord(false)}}, nil)
 	if err != nil {
 		return nil, err
@@ -218,7 +279,14 @@
 	case strings.HasPrefix(key, prefixState):
 		return decodeInto(s.States, strings.TrimPrefix(key, prefixState), value, &flowpb.Progress{})
 	case strings.HasPrefix(key, prefixSegment):
-		return decodeInto(s.segments, strings.TrimPrefix(key, prefixSegment), value, &flowpb.Segment{})
+		segment := &flowpb.Segment{}
+		if err := proto.Unmarshal(value, segment); err != nil {
+			return err
+		}
+		if sequence := segment.GetSequence(); sequence >= maxSequence || key != segmentKey(int(sequence%ringLength)) {
+			return fmt.Errorf("%w: segment %d", errImplausible, sequence)
+		}
+		s.segments[key] = segment
 	case strings.HasPrefix(key, prefixSeparateJob):
 		return decodeInto(s.separateJobs, strings.TrimPrefix(key, prefixSeparateJob), value, &flowpb.Job{})
 	case strings.HasPrefix(key, prefixSeparateProgress):
@@ -263,7 +331,7 @@
 		}
 	}
 	if len(segment.GetJobs()) > 0 {
-		puts = append(puts, driver.Put{Key: fmt.Sprintf("%s%s%03d", f.cell, prefixSegment, index), Value: marshal(segment)})
+		puts = append(puts, driver.Put{Key: f.cell + segmentKey(index), Value: marshal(segment)})
 	}
 	if confirmed, err = f.commit(ctx, puts, deletes); err != nil {
 		return 0, err
@@ -331,11 +399,7 @@
 	if err != nil {
 		return 0, err
 	}
-	found := &flowpb.Head{}
-	if err = proto.Unmarshal(item.Value(), found); err != nil {
-		return 0, fmt.Errorf("decode head record: %w", err)
-	}
-	if !proto.Equal(found, head) {
+	if found, err := decodeHead(item.Value()); err != nil || !proto.Equal(found, head) {
 		return 0, ErrDeposed
 	}
 	return item.Revision(), nil
