--- a/internal/scenario/arguments_test.go
+++ b/internal/scenario/arguments_test.go
@@ -17,7 +17,7 @@
 func setup(env *testscript.Env) error {
 	s := &system{
 		dir: env.WorkDir, processes: map[string]*process{}, machines: map[string]*machine{},
-		relays: map[string]*relay.Relay{}, senders: map[string]*sender{}, jobIDs: map[string]string{},
+		relays: map[string]*relay.Relay{}, senders: map[string]*sender{}, callers: map[string]*openCallers{}, jobIDs: map[string]string{},
 	}
 	env.Values[systemKey{}] = s
 	env.Defer(s.close)
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -16,6 +16,7 @@
 //
 //	system [example=] [entries=] [data-centres=] [runners=] [slots=] [connections=] [milli-cpu=]
 //	       [accelerators=] [grant=] [margin=] [silence=] [policy=] [guards=] [cells=] [quota=]
+//	       [processors=]
 //	       [KIND=SERVICE-TIME]...
 func cmdSystem(s *system, a arguments) (string, error) {
 	s.options = options{
@@ -25,7 +26,7 @@
 		serviceTimes: map[string]time.Duration{}, grant: a.duration("grant", 4*time.Second),
 		grantMargin: a.duration("margin", time.Second), storeSilence: a.duration("silence", 10*time.Minute),
 		policy: a.text("policy", ""), guards: a.text("guards", "on") == "on",
-		cellsPerDataCentre: a.number("cells", 1),
+		cellsPerDataCentre: a.number("cells", 1), processors: a.number("processors", 0),
 	}
 	raw, err := examples.Files.ReadFile(s.options.example + ".json")
 	if err != nil {
--- a/internal/scenario/faults_test.go
+++ b/internal/scenario/faults_test.go
@@ -25,6 +25,9 @@
 		if p == nil {
 			return "", fmt.Errorf("unknown process %q", name)
 		}
+		if a.arg(0) == "term" {
+			p.terminatedAt = time.Now()
+		}
 		if err := p.command.Process.Signal(signals[a.arg(0)]); err != nil {
 			return "", err
 		}
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -55,6 +55,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"system": scriptCommand(cmdSystem), "send": scriptCommand(cmdSend), "finish": scriptCommand(cmdFinish),
 			"judge": scriptCommand(cmdJudge), "signal": scriptCommand(cmdSignal), "start": scriptCommand(cmdStart), "twin": scriptCommand(cmdTwin),
+			"callers": scriptCommand(cmdCallers), "hangup": scriptCommand(cmdHangUp), "quota": scriptCommand(cmdQuota),
 			"link": scriptCommand(cmdLink), "fault": scriptCommand(cmdFault), "submit": scriptCommand(cmdSubmit),
 			"await": scriptCommand(cmdAwait), "job": scriptCommand(cmdJob), "apply": scriptCommand(cmdApply), "race": scriptCommand(cmdRace), "promote": scriptCommand(cmdPromote),
 			"inforce": scriptCommand(cmdInForce), "sleep": scriptCommand(cmdSleep), "ready": scriptCommand(cmdReady),
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -47,6 +47,7 @@
 	cleanups     []func()
 	mu           sync.Mutex
 	senders      map[string]*sender
+	callers      map[string]*openCallers
 	jobIDs       map[string]string
 	outcomes     []outcome
 	// firstRevision is the revision of the first document.
@@ -71,6 +72,8 @@
 	policy             string
 	guards             bool
 	cellsPerDataCentre int
+	// processors limits the processors that each process uses at once; 0 sets no limit.
+	processors int
 }
 
 // machine holds the stand-ins for the worker and the upstream that share a machine with an agent.
@@ -93,6 +96,8 @@
 	operatorsURL string
 	logPath      string
 	frozen       bool
+	// terminatedAt is when the process got its last SIGTERM.
+	terminatedAt time.Time
 }
 
 func (s *system) close() {
@@ -304,6 +309,9 @@
 	defer func() { _ = out.Close() }()
 	p.command = exec.Command(binaryPath, p.arguments...)
 	p.command.Stderr = out
+	if s.options.processors > 0 {
+		p.command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", s.options.processors))
+	}
 	// The kernel kills the process if the test is killed or panics.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
