--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
+	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
 const (
@@ -28,6 +29,9 @@
 	// shutdownDelay is how long a draining entry continues to accept connections of callers, so
 	// that load balancers see that it is not ready.
 	shutdownDelay = 500 * time.Millisecond
+	// answerTimeout is how long requests may take to be answered after the drain timeout, without a result.
+	// It covers the time in which an agent confirms that a request was withdrawn.
+	answerTimeout = time.Second
 	// warmUpTimeout bounds how long an entry that knows no upstream reports that it is not
 	// ready. Agents that can reach the entry dial it within that time.
 	warmUpTimeout = 6 * time.Second
@@ -118,7 +122,8 @@
 	defer stopWork()
 	loopContext, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
 	go e.loop.Run(loopContext)
-	callers, operators := e.callerServer(), e.operatorServer()
+	connections := telemetry.NewConnections(e.options.Metrics)
+	callers, operators := e.callerServer(connections), e.operatorServer(connections)
 	stopped := []<-chan struct{}{
 		goServe(callers, l.Callers), goServe(operators, l.Operators),
 		e.goAccept(workContext, l.Peers), e.goDial(workContext), e.goRegister(workContext),
@@ -132,8 +137,8 @@
 	e.drain(ctx, callers)
 	stopCells()
 	<-cellsDone
+	e.stopOperators(ctx, operators)
 	stopWork()
-	_ = operators.Close()
 	_ = l.Peers.Close()
 	for _, done := range stopped {
 		<-done
@@ -154,13 +159,22 @@
 	time.Sleep(min(shutdownDelay, e.options.DrainTimeout/4))
 	drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.options.DrainTimeout)
 	defer cancel()
-	err := callers.Stop(drainContext)
+	err := callers.Stop(drainContext, answerTimeout)
 	for e.inFlight.Load() > 0 && drainContext.Err() == nil {
 		time.Sleep(pollInterval)
 	}
 	e.log.Info("drained", "in-flight-at-start", inFlight, "cut-off", e.inFlight.Load(), "seconds", time.Since(start).Seconds(), "error", errs.Text(err))
 }
 
+// stopOperators answers the operators' calls in progress, at most for answerTimeout.
+func (e *Entry) stopOperators(ctx context.Context, operators *http1.Server) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+	defer cancel()
+	if err := operators.Stop(ctx, answerTimeout); err != nil {
+		e.log.Warn("calls of operators cut off", "error", err.Error())
+	}
+}
+
 // publishPeriodically publishes the routing table at an interval until ctx ends.
 func (e *Entry) publishPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
