--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -10,18 +10,20 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/errs"
-	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
 const (
-	// acceptPause is how often a stopping server looks whether connections wait to be accepted.
-	acceptPause = time.Millisecond
+	// acceptTimeout bounds an Accept of a stopping server for a connection that waited. Its client may
+	// have closed it meanwhile.
+	acceptTimeout = 10 * time.Millisecond
 	// firstRequestTimeout is how long a stopping server waits for the first request of a connection. A
 	// client opens one to send a request at once.
 	firstRequestTimeout = 250 * time.Millisecond
@@ -119,7 +121,7 @@
 // Serve accepts connections until the server stops, when it returns nil, or until accepting fails.
 func (s *Server) Serve(accepting net.Listener) (err error) {
 	defer errs.Annotate(&err, "http1: serve %s", accepting.Addr())
-	l := &listener{accepting, s}
+	l := &listener{Listener: accepting, server: s}
 	s.mu.Lock()
 	if s.stopping {
 		s.mu.Unlock()
@@ -218,15 +220,16 @@
 }
 
 // closeListeners closes each listener once no connection waits to be accepted, since those that wait
-// are reset with the requests that they carry.
+// are reset with the requests that they carry. When ctx ends before, it closes them all the same.
 func (s *Server) closeListeners(ctx context.Context) {
 	s.mu.Lock()
 	listeners := slices.Collect(maps.Keys(s.listeners))
 	s.mu.Unlock()
 	for _, l := range listeners {
-		for acceptable(l.Listener) && ctx.Err() == nil {
-			loop.Pause(ctx, acceptPause)
-		}
+		l.closeEmpty()
+	}
+	s.wait(ctx, func() bool { return len(s.listeners) == 0 })
+	for _, l := range listeners {
 		_ = l.Close()
 	}
 }
@@ -244,11 +247,16 @@
 // waitClosed waits until all listeners and connections are closed, and reports false if ctx ends
 // before.
 func (s *Server) waitClosed(ctx context.Context) bool {
+	return s.wait(ctx, func() bool { return len(s.conns)+len(s.listeners) == 0 })
+}
+
+// wait waits until a condition holds that is checked under mu, and reports false if ctx ends before.
+func (s *Server) wait(ctx context.Context, holds func() bool) bool {
 	for {
 		s.mu.Lock()
-		n, changed := len(s.conns)+len(s.listeners), s.changed
+		done, changed := holds(), s.changed
 		s.mu.Unlock()
-		if n == 0 {
+		if done {
 			return true
 		}
 		select {
@@ -294,16 +302,43 @@
 type listener struct {
 	net.Listener
 	server *Server
+	// closing is set once the listener is to be closed when no connection waits to be accepted.
+	closing atomic.Bool
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. The goroutine that accepts connections closes the listener as well:
+// while it waits, or has yet to notice that another one has closed it, the port stays open and
+// connections come in that are reset.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err == nil {
+			now := time.Now()
+			c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
+			l.server.add(c)
+			return c, nil
+		}
+		if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		if !acceptable(l.Listener) {
+			_ = l.Listener.Close()
+			return nil, net.ErrClosed
+		}
+		l.setDeadline(time.Now().Add(acceptTimeout))
 	}
-	now := time.Now()
-	c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
-	l.server.add(c)
-	return c, nil
+}
+
+// closeEmpty has the listener closed as soon as no connection waits to be accepted.
+func (l *listener) closeEmpty() {
+	l.closing.Store(true)
+	if !l.setDeadline(longAgo) {
+		_ = l.Close()
+	}
+}
+
+// setDeadline sets until when Accept waits, and reports false if the listener has no deadlines.
+func (l *listener) setDeadline(t time.Time) bool {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(t) == nil
 }
