Keep SIGHUP from ending a platform process that starts or stops

The signal's default action ends a process, and it was in force before the part that checks changed settings ran, and again when that part had ended, while the rest of the stop went on.

It is caught first of all now, and stays caught.

--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/app"
@@ -115,6 +117,8 @@
 
 // Execute runs the program until SIGINT or SIGTERM.
 func (c *platformCommand) Execute([]string) (err error) {
+	// SIGHUP would end the process until the program handles it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	var level slog.Level
 	if err = level.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		return usageError{fmt.Errorf("--log-level: %w", err)}
