Give each program of a system test an address of its own

Cause: freeAddress listened on any free port and closed it. The kernel may give that port again, to the next call, to the relay or to another listener. The program ended with "address already in use", and the test never looked at that.

- internal/scenario took ports below the ephemeral ones; that becomes standin.FreeAddress, used by TestSystem and the soak as well.
Its first port came from the process id times 7, and ranges of test processes overlap: with a random one, 1 of 400 runs of agent-restarts, 20 at a time, failed by an address that another test process had.
Each process now claims blocks of ports by a listener on the first one.

Not shown: that the failures seen before had this cause, since their logs were not verbose. No other one was found by reading (store, relay, client of the store).

--- a/internal/scenario/faults_test.go
+++ b/internal/scenario/faults_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jasminebay/jasminebay/internal/standin"
 	"github.com/jasminebay/jasminebay/internal/standin/kv"
 	"github.com/jasminebay/jasminebay/internal/standin/relay"
 	"github.com/jasminebay/jasminebay/internal/standin/upstream"
@@ -46,11 +47,11 @@
 //
 //	twin NAME
 func cmdTwin(s *system, a arguments) (string, error) {
-	agentAddress, err := freeAddress()
+	agentAddress, err := standin.FreeAddress()
 	if err != nil {
 		return "", err
 	}
-	unusedAddress, err := freeAddress()
+	unusedAddress, err := standin.FreeAddress()
 	if err != nil {
 		return "", err
 	}
--- a/internal/scenario/separate_test.go
+++ b/internal/scenario/separate_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jasminebay/jasminebay/examples"
+	"github.com/jasminebay/jasminebay/internal/standin"
 	"github.com/jasminebay/jasminebay/pkg/client"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
@@ -76,7 +77,7 @@
 }
 
 func mustFreeAddress(t *testing.T) string {
-	address, err := freeAddress()
+	address, err := standin.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -13,11 +13,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/standin"
 	"github.com/jasminebay/jasminebay/internal/standin/kv"
 	"github.com/jasminebay/jasminebay/internal/standin/relay"
 	"github.com/jasminebay/jasminebay/internal/standin/upstream"
@@ -141,28 +141,6 @@
 	return r.Address(), nil
 }
 
-// Ports for processes come from a range below the ephemeral ports of the operating system, so that
-// no outgoing connection takes a port between its selection and its use.
-const (
-	firstPort = 15_000
-	portCount = 15_000
-)
-
-var nextPort atomic.Int64
-
-// freeAddress returns a local address on which no process listens.
-func freeAddress() (string, error) {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(nextPort.Add(1)+int64(os.Getpid())*7)%portCount)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		return address, l.Close()
-	}
-	return "", errors.New("no free port in the range for tests")
-}
-
 func (s *system) boot() error {
 	s.store = kv.New(kv.Options{})
 	address, err := s.serve(s.store.Handler(), nil)
@@ -197,7 +175,7 @@
 }
 
 func (s *system) addEntry(name, dataCentre string) error {
-	listenAddress, err := freeAddress()
+	listenAddress, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -209,11 +187,11 @@
 	if err != nil {
 		return err
 	}
-	callersAddress, err := freeAddress()
+	callersAddress, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
-	operatorsAddress, err := freeAddress()
+	operatorsAddress, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -248,7 +226,7 @@
 		return err
 	}
 	m.workerURL = "http://" + workerAddress
-	agentAddress, err := freeAddress()
+	agentAddress, err := standin.FreeAddress()
 	if err != nil {
 		return err
 	}
