Probe ejected runners beside long-running tasks

It was probed only while it had no run at all, and long-running tasks neither end nor counted as a success. The bound on held room had no part in it: no room was held then.

- A probed runner may be given a task unless one of its runs has just begun or is being stopped.
It gets one task a round; before, a round could fill an ejected runner.
- A long-running task that was started as a probe counts as a success once it is ready to serve and has gone on for two seconds.
- Runs that fail or stall while their runner is ejected make the ejection no longer.
Before, each doubled it, so that a runner that failed a few tasks at once was out for 15 s.
- The longest ejection is 4 s in place of 15 s.
- An ejection for failures is logged, like those for stalls.

Before, ejected-beside-lasting, ejected-once and probed-by-lasting failed: no start after the ejection. ejected-again failed: three starts in place of one. The health script gave the number of runs; it now gives a run that was sent and one that has just begun, and both must hold back a second, as the one run did before.

--- a/internal/flow/engine/decisions_test.go
+++ b/internal/flow/engine/decisions_test.go
@@ -155,8 +155,9 @@
 }
 
 // health prints whether a runner may be given tasks after a sequence of run results, and after the
-// longest ejection time with no run and with one. Each letter of the input is one result: f is a
-// failure of another job, s a failure of the same job, d a success.
+// longest ejection time with no run, with one that was just sent and with one that has just begun. Each
+// letter of the input is one result: f is a failure of another job, s a failure of the same job, d a
+// success.
 func (s *decisionsTest) health(d *datadriven.TestData) string {
 	var h health
 	now := time.Hour
@@ -170,7 +171,9 @@
 			h.recordSuccess()
 		}
 	}
-	return fmt.Sprintf("admits=%v after the pause: first=%v second=%v\n", h.admits(now, 0), h.admits(now+maxEjectionTime, 0), h.admits(now+maxEjectionTime, 1))
+	later := now + maxEjectionTime
+	sent, begun := &run{phase: phaseSent}, &run{phase: phaseRunning, startedAt: later}
+	return fmt.Sprintf("admits=%v after the pause: first=%v second=%v,%v\n", h.admits(now, nil), h.admits(later, nil), h.admits(later, []*run{sent}), h.admits(later, []*run{begun}))
 }
 
 // idle prints the idle processors of a worker. Each input line describes one run on it: "serves" or
--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -163,6 +163,7 @@
 		r.progressPercent, r.progressedAt = int(reported.GetPercent()), now
 	}
 	r.gauge, r.gaugeAt = reported.GetGauge(), now
+	r.worker.health.observeProgress(r, now)
 }
 
 // markRunning records that a run has started, and stops it if it is no longer wanted.
@@ -317,7 +318,9 @@
 	t.failures++
 	t.notBefore = now.Monotonic + failureRetryDelay
 	t.avoid(r.worker)
-	r.worker.health.recordFailure(j.id(), now.Monotonic)
+	if r.worker.health.recordFailure(j.id(), now.Monotonic) {
+		e.options.Log.Warn("runner ejected", "node", r.worker.node, "reason", "runs failed", "for-ms", r.worker.health.ejectionTime.Milliseconds())
+	}
 	failures := t.failures
 	if t.step.def.GetGang() {
 		failures = 0
--- a/internal/flow/engine/health.go
+++ b/internal/flow/engine/health.go
@@ -4,16 +4,20 @@
 
 // Ejection covers runners that fail, stall or slow down all their tasks while their reports look
 // healthy. After consecutive failures of tasks of different jobs, a runner gets no new tasks for a
-// while, then a single one as a probe.
+// while, then one at a time as a probe.
 const (
 	// ejectFailures is the number of consecutive failures, of at least ejectJobs jobs, after which
 	// a runner is ejected. A job that fails everywhere must not eject the runners that it ran on.
 	ejectFailures = 3
 	ejectJobs     = 2
 	// minEjectionTime is the duration of a first ejection. It doubles with each further one up to
-	// maxEjectionTime.
+	// maxEjectionTime, which is short because long-running tasks may wait for the room on the runner
+	// after it has recovered.
 	minEjectionTime = 2 * time.Second
-	maxEjectionTime = 15 * time.Second
+	maxEjectionTime = 4 * time.Second
+	// probeTime is how long a run on a probed runner has to go on before the runner may be given
+	// another. It is not longer than an ejection, so that the runs from before do not count as probes.
+	probeTime = minEjectionTime
 )
 
 // health tracks the failures of runs on a runner and its ejections.
@@ -22,35 +26,64 @@
 	failedJobs   map[string]bool
 	ejectedUntil time.Duration
 	ejectionTime time.Duration
-	// probing is set until a run succeeds after an ejection. Meanwhile the runner gets one run at a
-	// time, and a failure ejects it again.
+	// probing is set until a run succeeds after an ejection. Meanwhile the runner gets one task at a
+	// time as a probe, and a failure ejects it again.
 	probing bool
 }
 
-// recordFailure counts a failed run of a job and ejects the runner if there were too many.
-func (h *health) recordFailure(job string, now time.Duration) {
+// recordFailure counts a failed run of a job. It ejects the runner if there were too many, and then
+// returns true.
+func (h *health) recordFailure(job string, now time.Duration) (ejected bool) {
 	h.failures++
 	if h.failedJobs == nil {
 		h.failedJobs = map[string]bool{}
 	}
 	h.failedJobs[job] = true
 	if h.probing || h.failures >= ejectFailures && len(h.failedJobs) >= ejectJobs {
-		h.eject(now)
+		return h.eject(now)
 	}
+	return false
 }
 
-// eject bars the runner from new tasks for a time that doubles with each ejection.
-func (h *health) eject(now time.Duration) {
+// eject bars the runner from new tasks for a time that doubles with each ejection. It has no effect
+// while the runner is ejected, since the runs that fail or stall then were placed before, and then
+// returns false.
+func (h *health) eject(now time.Duration) bool {
+	if now < h.ejectedUntil {
+		return false
+	}
 	h.ejectionTime = min(max(2*h.ejectionTime, minEjectionTime), maxEjectionTime)
 	h.ejectedUntil = now + h.ejectionTime
 	h.probing = true
 	h.failures, h.failedJobs = 0, nil
+	return true
 }
 
 // recordSuccess resets the health, which also ends probing.
 func (h *health) recordSuccess() { *h = health{} }
 
-// admits reports whether a runner with the given number of live runs may be given another.
-func (h *health) admits(now time.Duration, runs int) bool {
-	return now >= h.ejectedUntil && (!h.probing || runs == 0)
+// admits reports whether a runner with the given live runs may be given another. While the runner is
+// probed, it may not if one of them has just begun or is being stopped. Those that go on do not count,
+// since long-running tasks never end by themselves.
+func (h *health) admits(now time.Duration, runs []*run) bool {
+	if now < h.ejectedUntil {
+		return false
+	}
+	if !h.probing {
+		return true
+	}
+	for _, r := range runs {
+		if r.phase != phaseRunning || now-r.startedAt < probeTime {
+			return false
+		}
+	}
+	return true
+}
+
+// observeProgress takes a long-running task that was started as a probe, and has gone on, for a
+// success once it is ready to serve.
+func (h *health) observeProgress(r *run, now time.Duration) {
+	if h.probing && r.task.step.def.GetLasting() && r.startedAt >= h.ejectedUntil && r.progressPercent >= fullPace && now-r.startedAt >= probeTime {
+		h.recordSuccess()
+	}
 }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -27,6 +27,8 @@
 	rack            string
 	// heldFor is the long-running step for which the room on the worker is held, or nil.
 	heldFor *step
+	// placed is the number of tasks placed in this round.
+	placed int
 }
 
 // Place assigns pending tasks to workers with enough free resources, in the order of the policy.
@@ -50,7 +52,7 @@
 func (e *Engine) candidates(now time.Duration) []*candidate {
 	var candidates []*candidate
 	for _, w := range e.sortedWorkers() {
-		if !w.schedulable(now) || now < w.fullUntil || e.evacuating[w.info.GetId()] || !w.health.admits(now, w.runs.len()) {
+		if !w.schedulable(now) || now < w.fullUntil || e.evacuating[w.info.GetId()] || !w.health.admits(now, w.runs.list) {
 			continue
 		}
 		candidates = append(candidates, &candidate{worker: w, free: w.free(), idleMilliCPU: w.bestEffortAvailable(), latencyCritical: w.hasLatencyCritical(), rack: w.rack()})
@@ -220,6 +222,7 @@
 
 // reserve deducts the resources of one task of the step from those left on the candidate.
 func (c *candidate) reserve(s *step) {
+	c.placed++
 	c.free = c.free.Minus(s.resources())
 	if s.def.GetFills() {
 		c.idleMilliCPU -= s.def.GetMilliCpu()
@@ -231,6 +234,7 @@
 
 // release undoes reserve, except for the latencyCritical flag.
 func (c *candidate) release(s *step) {
+	c.placed--
 	c.free = c.free.Plus(s.resources())
 	if s.def.GetFills() {
 		c.idleMilliCPU += s.def.GetMilliCpu()
@@ -240,8 +244,12 @@
 }
 
 // feasible reports whether a task of the step may run on a candidate and fits in its free
-// resources, which may be held for another step. Best-effort tasks take nothing that is held.
+// resources, which may be held for another step. Best-effort tasks take nothing that is held. A runner
+// that is probed gets one task.
 func (e *Engine) feasible(s *step, c *candidate, now time.Duration) bool {
+	if c.worker.health.probing && c.placed > 0 {
+		return false
+	}
 	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now)
 }
 
