--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -177,7 +179,7 @@
 	defer errs.Annotate(&err, "http1: stop")
 	s.Announce()
 	s.closeWaiting()
-	s.closeListeners()
+	s.closeListeners(ctx)
 	if !s.waitClosed(ctx) {
 		s.endRequests(ErrStopped)
 		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
@@ -217,14 +219,19 @@
 	return s.aborting
 }
 
-// closeListeners has each listener closed once no connection waits to be accepted, since those that
-// wait are reset with the requests that they carry.
-func (s *Server) closeListeners() {
+// closeListeners closes each listener once no connection waits to be accepted, since those that wait
+// are reset with the requests that they carry. When ctx ends before, it closes them all the same.
+func (s *Server) closeListeners(ctx context.Context) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for l := range s.listeners {
+	listeners := slices.Collect(maps.Keys(s.listeners))
+	s.mu.Unlock()
+	for _, l := range listeners {
 		l.closeEmpty()
 	}
+	s.wait(ctx, func() bool { return len(s.listeners) == 0 })
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 }
 
 // closeWaiting closes all connections, present and future, while they wait for a request.
@@ -240,11 +247,16 @@
 // waitClosed waits until all listeners and connections are closed, and reports false if ctx ends
 // before.
 func (s *Server) waitClosed(ctx context.Context) bool {
+	return s.wait(ctx, func() bool { return len(s.conns)+len(s.listeners) == 0 })
+}
+
+// wait waits until a condition holds that is checked under mu, and reports false if ctx ends before.
+func (s *Server) wait(ctx context.Context, holds func() bool) bool {
 	for {
 		s.mu.Lock()
-		n, changed := len(s.conns)+len(s.listeners), s.changed
+		done, changed := holds(), s.changed
 		s.mu.Unlock()
-		if n == 0 {
+		if done {
 			return true
 		}
 		select {
