--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -30,7 +30,7 @@
 	return [...]string{"new", "idle", "reading", "serving", "answered"}[s]
 }
 
-// waiting reports whether no part of a request has been read that is not answered.
+// waiting reports whether the connection waits for a request.
 func (s connState) waiting() bool { return s == stateNew || s == stateIdle }
 
 // lingerTimeout is how long a connection that is closed with a refusal waits for its client to close it as
