--- a/review/driver/silent.go
+++ b/review/driver/silent.go
@@ -32,6 +32,8 @@
 	mu       sync.Mutex
 	open     []*atomic.Bool
 	accepted int
+	// black is set while new connections are silent, too.
+	black atomic.Bool
 }
 
 func newRelay(target string) (r *relay, err error) {
@@ -59,6 +61,7 @@
 			continue
 		}
 		silent := &atomic.Bool{}
+		silent.Store(r.black.Load())
 		r.mu.Lock()
 		r.open = append(r.open, silent)
 		r.accepted++
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -85,8 +85,10 @@
 // process is a process of the project.
 type process struct {
 	name, role, settings string
-	// peer is the address for other processes of the project.
+	// peer is the address for other processes of the project, front that for clients.
 	peer   string
+	front  string
+	ready  string
 	cmd    *exec.Cmd
 	log    *os.File
 	exited chan struct{}
@@ -149,7 +151,7 @@
 	if w.front == "" {
 		w.front = front
 	}
-	return w.addProcess(name, "platform-entry", "edge", fmt.Sprintf("front = %q\nready = %q", front, ready), "")
+	return w.addProcess(name, "platform-entry", "edge", fmt.Sprintf("front = %q\nready = %q", front, ready), "", front, ready)
 }
 
 // addMachine adds a machine with a runner and an agent.
@@ -167,10 +169,10 @@
 	if err := m.begin(); err != nil {
 		return err
 	}
-	return w.addProcess("side-"+name, "platform-agent", "side", fmt.Sprintf("control = %q", control), address)
+	return w.addProcess("side-"+name, "platform-agent", "side", fmt.Sprintf("control = %q", control), address, "", "")
 }
 
-func (w *world) addProcess(name, role, class, bind, app string) error {
+func (w *world) addProcess(name, role, class, bind, app, front, ready string) error {
 	_, first, err := freePort()
 	if err != nil {
 		return err
@@ -187,14 +189,16 @@
 	if err = settingsTemplate.Execute(&text, values); err != nil {
 		return err
 	}
-	p := &process{name: name, role: role, settings: filepath.Join(w.folder, name+".toml"), peer: fmt.Sprintf("127.0.0.1:%d", min(first, last))}
+	p := &process{name: name, role: role, settings: filepath.Join(w.folder, name+".toml"), peer: fmt.Sprintf("127.0.0.1:%d", min(first, last)), front: front, ready: ready}
 	if err = os.WriteFile(p.settings, text.Bytes(), 0o600); err != nil {
 		return err
 	}
 	if p.log, err = os.Create(filepath.Join(w.folder, name+".log")); err != nil {
 		return err
 	}
+	w.mu.Lock()
 	w.processes = append(w.processes, p)
+	w.mu.Unlock()
 	if w.relays != nil && class == "edge" {
 		r, err := newRelay(p.peer)
 		if err != nil {
@@ -256,16 +260,22 @@
 	_ = os.RemoveAll(w.folder)
 }
 
-// call sends a client's call.
+// call sends a client's call to the first entry.
 func (w *world) call(method, path, body string) (status int, answer string) {
-	request, err := http.NewRequest(method, "http://"+w.front+prefix+path, strings.NewReader(body))
+	return w.callOver(defaultClient, w.front, method, path, body)
+}
+
+var defaultClient = &http.Client{Timeout: callTime}
+
+// callOver sends a client's call to an entry.
+func (w *world) callOver(client *http.Client, front, method, path, body string) (status int, answer string) {
+	request, err := http.NewRequest(method, "http://"+front+prefix+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	request.Host = host
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(callTime.Milliseconds(), 10))
-	client := &http.Client{Timeout: callTime}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "no answer"
