--- a/review/driver/cancelled.go
+++ b/review/driver/cancelled.go
@@ -101,10 +101,7 @@
 	for viewer, relays := range v.relays {
 		for target, r := range relays {
 			if viewer == name || target == peer {
-				r.black.Store(cut)
-				if cut {
-					r.silence()
-				}
+				r.held.Store(cut)
 			}
 		}
 	}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -29,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, "usage: driver CASE PROGRAM FOLDER")
 		return exitNotRun
 	}
-	cases := map[string]func(w *world, trouble bool) error{"killed": playKilled, "crowded": playCrowded, "silent": playSilent, "cancelled": playCancelled}
+	cases := map[string]func(w *world, trouble bool) error{"killed": playKilled, "crowded": playCrowded, "silent": playSilent, "cancelled": playCancelled, "reborn": playReborn}
 	f := cases[os.Args[1]]
 	if f == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/driver/runner.go
+++ b/review/driver/runner.go
@@ -69,6 +69,8 @@
 	life    *life
 	lives   int
 	changed chan struct{}
+	// dark is set while the runner is down and nothing on the machine says so.
+	dark bool
 	// state is what the platform lists of the machine.
 	state string
 	// token is the highest that orders for the machine have used, and waves are those it had its upkeep in.
@@ -131,7 +133,7 @@
 			_ = server.Close()
 			return
 		}
-		if time.Now().After(next) {
+		if time.Now().After(next) && !m.isDark() {
 			sequence++
 			next = time.Now().Add(beatInterval)
 			m.beat(client, l, sequence)
@@ -220,6 +222,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == words["start"] && m.crashes(o.Task) || m.isDark() {
+		<-r.Context().Done()
+		return
+	}
 	status, answer := m.carryOut(r.Context(), l, r.URL.Path, o)
 	if status == 0 {
 		panic(http.ErrAbortHandler)
@@ -227,6 +233,12 @@
 	reply(w, status, answer)
 }
 
+func (m *machine) isDark() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dark
+}
+
 func reply(w http.ResponseWriter, status int, answer any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -301,7 +313,7 @@
 		l.ends = l.ends[1:]
 	}
 	if len(l.ends) == 0 && o.WaitMs > 0 {
-		changed := m.changed
+		changed, born := m.changed, l.born
 		m.mu.Unlock()
 		select {
 		case <-changed:
@@ -312,6 +324,13 @@
 		if m.life != l {
 			return 0, nil
 		}
+		if born != l.born {
+			// The runner that got the call has crashed without a word.
+			m.mu.Unlock()
+			<-ctx.Done()
+			m.mu.Lock()
+			return 0, nil
+		}
 	}
 	running := [][]any{}
 	for _, r := range l.runs {
--- a/review/driver/silent.go
+++ b/review/driver/silent.go
@@ -32,8 +32,8 @@
 	mu       sync.Mutex
 	open     []*atomic.Bool
 	accepted int
-	// black is set while new connections are silent, too.
-	black atomic.Bool
+	// held is set while the relay holds back what it gets, as a partition does.
+	held atomic.Bool
 }
 
 func newRelay(target string) (r *relay, err error) {
@@ -61,20 +61,22 @@
 			continue
 		}
 		silent := &atomic.Bool{}
-		silent.Store(r.black.Load())
 		r.mu.Lock()
 		r.open = append(r.open, silent)
 		r.accepted++
 		r.mu.Unlock()
-		go forward(from, to, silent)
-		go forward(to, from, silent)
+		go r.forward(from, to, silent)
+		go r.forward(to, from, silent)
 	}
 }
 
-func forward(from, to net.Conn, silent *atomic.Bool) {
+func (r *relay) forward(from, to net.Conn, silent *atomic.Bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		for r.held.Load() {
+			time.Sleep(watchInterval)
+		}
 		if silent.Load() {
 			if err != nil {
 				return
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -78,6 +78,9 @@
 	// lastAtWork is when each task was last seen at work.
 	lastAtWork map[string]time.Time
 	broken     []string
+	// crashTask is the task at whose start a runner crashes, and crashed is called then.
+	crashTask string
+	crashed   func(m *machine)
 	// relays stand before the entries, by their addresses, if the case has any.
 	relays map[string]*relay
 }
