--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +43,13 @@
 		return exitNotRun
 	}
 	defer w.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.stop()
+		os.Exit(exitNotRun)
+	}()
 	done := make(chan struct{})
 	defer close(done)
 	go w.observe(done)
