End links whose other side is silent, on both ends

Cause: the session of an agent had no time-out in either direction. The agent waited for orders and the owner for reports until the operating system gave the connection up, while both took the other for connected; watchOwner, which gives a cell without agents up, counts open links. Entries have heartbeats towards the owner, but the owner's end of those links waited without a limit as well.

Change: a link counts the bytes that it receives and ends after four ticks of 350 ms without any, on each end by itself, since the close of one end may not reach the other. An end that has nothing to send sends an empty frame, so that agents without a runner stay connected; reports and grants make it needless elsewhere. Ticks are counted, not time: a process that was held up doesn't take its own delay for silence. The ticks of all links coincide, so that a process with hundreds of links is woken once. The keep-alive of yamux was weighed: it costs two round trips per interval on busy links as well, and judges by the clock of a process that may have been held up.

On the old links TestSilentLinkEnds fails in all three forms, and TestSystem/silent-links, silent-links-to-owner and silent-links-from-owner find the second job queued; with the change they pass, no run lapses, and TestIdleLinkStays holds.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -204,7 +204,7 @@
 		}
 	})
 	if ctx.Err() == nil {
-		a.options.Log.Warn("connection to the owner lost", "owner", record.GetNode(), "epoch", record.GetEpoch())
+		a.options.Log.Warn("connection to the owner lost", "owner", record.GetNode(), "epoch", record.GetEpoch(), "silent", l.Silent())
 	}
 }
 
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -206,7 +206,7 @@
 	c.run(ctx, n.heartbeat)
 	n.setClient(nil)
 	if ctx.Err() == nil {
-		n.options.Log.Warn("connection to the owner lost", "owner", record.GetNode(), "epoch", record.GetEpoch())
+		n.options.Log.Warn("connection to the owner lost", "owner", record.GetNode(), "epoch", record.GetEpoch(), "silent", l.Silent())
 	}
 	return ""
 }
--- a/internal/flow/owner/sessions.go
+++ b/internal/flow/owner/sessions.go
@@ -35,6 +35,9 @@
 	}
 	l.Close()
 	o.loop.Post(func() {
+		if l.Silent() {
+			o.options.Log.Warn("agent is silent", "node", node)
+		}
 		if o.state.links[node] == l {
 			delete(o.state.links, node)
 			o.agents.Store(int64(len(o.state.links)))
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
 )
 
 // Layout of a yamux header, as far as coalescingConn needs it.
@@ -20,6 +21,15 @@
 	net.Conn
 	header  []byte
 	buffers net.Buffers
+	// received counts the bytes that were read.
+	received atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *coalescingConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 // Write implements io.Writer. It reports a data header as written before it has been sent.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -41,14 +41,26 @@
 // Session is a multiplexed connection to another process. It is safe for concurrent use.
 type Session struct {
 	mux  *yamux.Session
-	conn net.Conn
+	conn *coalescingConn
+}
+
+// newSession starts a session as the side that start stands for. It closes conn if that fails.
+func newSession(conn net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
+	counted := &coalescingConn{Conn: conn}
+	mux, err := start(counted, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Session{mux: mux, conn: counted}, nil
 }
 
 func muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = streamAcceptBacklog
-	// The application's heartbeats already detect dead sessions; yamux keep-alives would
-	// duplicate them.
+	// Those who use a session notice that it is silent, by their heartbeats or by Received. A keep-alive
+	// of yamux waits for its answer by the clock, so that a process that was held up itself would end
+	// its sessions.
 	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.MaxStreamWindowSize = streamWindowBytes
@@ -67,12 +79,9 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	mux, err := yamux.Client(&coalescingConn{Conn: conn}, muxConfig())
-	if err != nil {
-		_ = conn.Close()
+	if s, err = newSession(conn, yamux.Client); err != nil {
 		return nil, nil, nil, err
 	}
-	s = &Session{mux: mux, conn: conn}
 	control, welcome, err = s.clientHandshake(hello)
 	if err != nil {
 		s.Close()
@@ -90,24 +99,14 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(&coalescingConn{Conn: conn}, muxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return &Session{mux: mux, conn: conn}, nil
+	return newSession(conn, yamux.Client)
 }
 
 // ServerSession turns an accepted connection from a process that called Connect into a
 // session. It closes conn if that fails.
 func ServerSession(conn net.Conn) (s *Session, err error) {
 	defer errs.Annotate(&err, "peer: start server session")
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, muxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return &Session{mux: mux, conn: conn}, nil
+	return newSession(conn, yamux.Server)
 }
 
 func (s *Session) clientHandshake(hello *peerpb.Hello) (*Stream, *peerpb.Welcome, error) {
@@ -139,12 +138,9 @@
 // is refused. The caller must reply on the control stream with SendWelcome.
 func Accept(conn net.Conn, system string) (s *Session, control *Stream, hello *peerpb.Hello, err error) {
 	defer errs.Annotate(&err, "peer: accept")
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, muxConfig())
-	if err != nil {
-		_ = conn.Close()
+	if s, err = newSession(conn, yamux.Server); err != nil {
 		return nil, nil, nil, err
 	}
-	s = &Session{mux: mux, conn: conn}
 	control, hello, err = s.serverHandshake(system)
 	if err != nil {
 		s.Close()
@@ -241,6 +237,9 @@
 	return stream.Receive()
 }
 
+// Received returns how many bytes the session has received so far.
+func (s *Session) Received() int64 { return s.conn.received.Load() }
+
 // Close closes the session and all its streams.
 func (s *Session) Close() {
 	_ = s.conn.Close()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay provides a TCP proxy that simulates a faulty network link: it can delay and stall
-// traffic, refuse connections and close them.
+// traffic, refuse connections, close them and silence them for good.
 package relay
 
 import (
@@ -38,10 +38,22 @@
 	mu             sync.Mutex
 	mode           Mode
 	modeChanged    chan struct{}
-	connections    map[net.Conn]bool
+	connections    map[*connection]bool
 	bytesForwarded atomic.Int64
 }
 
+// connection is an open connection through a relay. The bytes of a silent direction are lost, and the
+// other side does not learn that it was closed.
+type connection struct {
+	client, server                   net.Conn
+	silentToServer, silentFromServer atomic.Bool
+}
+
+func (c *connection) close() {
+	_ = c.client.Close()
+	_ = c.server.Close()
+}
+
 // New returns a Relay that listens on a free port of 127.0.0.1 and forwards connections to target,
 // a host and port, until Close. It fails if it cannot listen.
 func New(target string, m Mode) (*Relay, error) {
@@ -49,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: l, mode: m, modeChanged: make(chan struct{}), connections: map[net.Conn]bool{}}
+	r := &Relay{target: target, listener: l, mode: m, modeChanged: make(chan struct{}), connections: map[*connection]bool{}}
 	go r.serve()
 	return r, nil
 }
@@ -81,17 +93,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.connections {
-		_ = c.Close()
+		c.close()
 	}
 }
 
+// Silence silences directions of all open connections for good, without a reset; new ones work. It
+// returns how many connections are open.
+func (r *Relay) Silence(toServer, fromServer bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.connections {
+		if toServer {
+			c.silentToServer.Store(true)
+		}
+		if fromServer {
+			c.silentFromServer.Store(true)
+		}
+	}
+	return len(r.connections)
+}
+
 func (r *Relay) currentMode() (Mode, chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.mode, r.modeChanged
 }
 
-func (r *Relay) track(c net.Conn, open bool) {
+func (r *Relay) track(c *connection, open bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if open {
@@ -121,10 +149,16 @@
 		_ = client.Close()
 		return
 	}
-	r.track(client, true)
-	r.track(server, true)
-	go r.forward(client, server, true)
-	r.forward(server, client, false)
+	c := &connection{client: client, server: server}
+	r.track(c, true)
+	toServerDone := make(chan struct{})
+	go func() {
+		defer close(toServerDone)
+		r.forward(client, server, &c.silentToServer, true)
+	}()
+	r.forward(server, client, &c.silentFromServer, false)
+	<-toServerDone
+	r.track(c, false)
 }
 
 // chunk is a piece of the data of one direction with the time from which it may be delivered.
@@ -134,15 +168,18 @@
 }
 
 // forward copies the data of one direction until either side closes, and then closes both. It reads
-// ahead of the delivery, so that a delay does not limit the throughput.
-func (r *Relay) forward(from, to net.Conn, toServer bool) {
+// ahead of the delivery, so that a delay does not limit the throughput. If the direction is silent, the
+// other side stays open.
+func (r *Relay) forward(from, to net.Conn, silent *atomic.Bool, toServer bool) {
 	chunks := make(chan chunk, maxChunksInTransit)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.deliver(chunks, to, toServer)
+		r.deliver(chunks, to, silent, toServer)
 		_ = from.Close()
-		_ = to.Close()
+		if !silent.Load() {
+			_ = to.Close()
+		}
 	}()
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -159,7 +196,6 @@
 		if err != nil {
 			close(chunks)
 			<-done
-			r.track(from, false)
 			return
 		}
 	}
@@ -167,11 +203,14 @@
 
 // deliver writes each chunk to the destination at its time, until a write fails or CutAfter is
 // reached.
-func (r *Relay) deliver(chunks <-chan chunk, to net.Conn, toServer bool) {
+func (r *Relay) deliver(chunks <-chan chunk, to net.Conn, silent *atomic.Bool, toServer bool) {
 	forwarded := 0
 	for c := range chunks {
 		time.Sleep(time.Until(c.deliverAt))
 		m := r.waitWhileStalled(toServer)
+		if silent.Load() {
+			continue
+		}
 		forwarded += len(c.data)
 		r.bytesForwarded.Add(int64(len(c.data)))
 		if !toServer && m.CutAfter > 0 && forwarded > m.CutAfter {
