Take starts of an earlier life of a runner back, and end its longer lease

Cause: nothing bound an attempt, its token or its deadline to the life that they were meant for; a runner keeps its id over a restart, and calls name the id alone. What the agent noticed it could only tell an owner that it did not reach. Checked and ruled out: that the owner could wait longer by itself.

Change, all at the agent, which reaches the runner behind any cut: - The answer to a start whose clock lies before the readings so far comes from another life. The start counts as in doubt, is not sent again, and the run is stopped there. - Once a life under the same id is noticed, every start without an answer is taken back there by a stop, which is repeated until it is answered; a runner refuses the start of a run that was stopped. - While a runner may hold a longer lease than the owner granted, the agent stops all runs a second before the granted lease ends.

The stand-in runner can crash at a start, holds no longer lease than it accepts, and leaves calls to an earlier life unanswered. TestCrashWithStartUnderWay drives its agent through the loop, as stops are sent beside it; what it checks is unchanged.

Left: an agent that restarts itself does not know of a longer lease that its runner took before (TestEngine/late-start-takeover stays listed).

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -71,8 +71,10 @@
 	wakePoll chan struct{}
 	// calls tracks the goroutines that call the runner or wait to synchronise.
 	calls sync.WaitGroup
-	ctx   context.Context
-	state loopState
+	// guards tracks guardLease.
+	guards sync.WaitGroup
+	ctx    context.Context
+	state  loopState
 }
 
 // ownerLink sends frames to the owner; *link.Link implements it.
@@ -89,6 +91,8 @@
 	token  uint64
 	// revokedToken is the highest token that a synchronisation has revoked.
 	revokedToken uint64
+	// highestToken is the highest token that any owner has issued for the runner.
+	highestToken uint64
 	// tokenConfirmed is set when the runner has accepted the token.
 	tokenConfirmed bool
 	// reportedRunner is what the last report under the token said of the runner.
@@ -113,6 +117,8 @@
 	// VM's steady clock, a lease that the runner has taken from a request to its incarnation before.
 	lastRunnerID    string
 	foreignLeaseEnd time.Duration
+	// guardingLease is set while guardLease runs.
+	guardingLease bool
 	// leaseEnd is the end of the lease that the owner granted, on this VM's steady clock.
 	leaseEnd time.Duration
 	// clockOffset converts times on this VM's steady clock to the runner's clock. It may be too low
@@ -153,6 +159,7 @@
 	<-pollDone
 	<-loopDone
 	a.calls.Wait()
+	a.guards.Wait()
 }
 
 // session connects to the owner and serves the session until it ends.
@@ -288,17 +295,6 @@
 	return leaving
 }
 
-// beginIncarnation resets what counts anew with each incarnation of the runner. If it has the id of
-// the one before, it may have carried out requests that were meant for that one. Their leases are
-// times on another clock, so that the runner may have taken them for the longest that it accepts.
-func (a *Agent) beginIncarnation(id string) {
-	if id == a.state.lastRunnerID {
-		a.state.foreignLeaseEnd = a.options.Clock() + a.options.MaxLease
-	}
-	a.state.lastRunnerID = id
-	a.state.acknowledgedEnd, a.state.confirmedEnd, a.state.lastCountedEnd, a.state.clockReadAt = 0, 0, 0, 0
-}
-
 // requestToken revokes the current token and requests a new one. gone is set if the
 // runner no longer runs.
 func (a *Agent) requestToken(gone bool) {
@@ -377,6 +373,7 @@
 		}
 		a.state.revokedToken = max(a.state.revokedToken, a.state.token)
 		a.state.token, a.state.tokenConfirmed, a.state.results = o.GetToken(), false, nil
+		a.state.highestToken = max(a.state.highestToken, o.GetToken())
 	}
 	if o.GetGrantMillis() > 0 && o.GetReport() > 0 && a.state.sequence-o.GetReport() < reportHistory {
 		end := a.state.reportSentAt[o.GetReport()%reportHistory] + time.Duration(o.GetGrantMillis())*time.Millisecond
--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -127,20 +127,41 @@
 	is.True(r.GetRunner() == nil)
 }
 
+// stoppingRunner is a runner that answers stops alone.
+type stoppingRunner struct{ driver.Runner }
+
+func (stoppingRunner) Stop(context.Context, driver.RunnerID, driver.RunID, uint64) error { return nil }
+
 // TestCrashWithStartUnderWay checks what an agent tells the owner about a runner that has restarted
 // under its id while a start was under way: which runs it may yet start, and how long its lease may be.
 func TestCrashWithStartUnderWay(t *testing.T) {
 	is := is.New(t)
 	now := time.Hour
 	a, owner := connectedAgent(is, t, &now)
+	ctx, stop := context.WithCancel(t.Context())
+	a.ctx, a.options.Runner = ctx, stoppingRunner{}
+	done := loop.Go(ctx, a.loop.Run)
+	t.Cleanup(func() {
+		stop()
+		<-done
+		a.calls.Wait()
+		a.guards.Wait()
+	})
+	onLoop := func(f func()) {
+		is.NoErr(a.loop.Do(f))
+		a.calls.Wait()
+	}
 	id := driver.RunnerID{ID: "i-1", StartedMillis: 1000}
-	a.state.unanswered[driver.RunID{Task: "j.0.0.0", Run: 3}] = now
-	a.state.acknowledgedEnd = 87
-	order, _, _ := a.nextPoll()
+	var order driver.HoldRequest
+	onLoop(func() {
+		a.state.unanswered[driver.RunID{Task: "j.0.0.0", Run: 3}] = now
+		a.state.acknowledgedEnd = 87
+		order, _, _ = a.nextPoll()
+	})
 	is.Equal(order.Acknowledged, uint64(87))
 
 	reborn := driver.RunnerID{ID: "i-1", StartedMillis: 2000}
-	a.handlePoll(id, order, driver.HoldReport{Runner: reborn}, nil, 0)
+	onLoop(func() { a.handlePoll(id, order, driver.HoldReport{Runner: reborn}, nil, 0) })
 	s := receive(is, owner).GetSync()
 	is.Equal(s.GetRunner().GetBorn(), int64(2000))
 	is.Equal(len(s.GetUnanswered()), 1)
@@ -149,20 +170,24 @@
 
 	// The new token is above that of the start, which this incarnation refuses from now on. The next one
 	// does not know the token.
-	a.state.token = 8
-	a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
-	is.Equal(len(a.state.unanswered), 1)
-	now += driver.MaxOrderDelay + 1
-	a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
-	is.Equal(len(a.state.unanswered), 0)
+	onLoop(func() {
+		a.state.token = 8
+		a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
+		is.Equal(len(a.state.unanswered), 1)
+		now += driver.MaxOrderDelay + 1
+		a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
+		is.Equal(len(a.state.unanswered), 0)
+	})
 
 	// An acknowledgement is not sent again once the runner has answered it.
-	a.state.acknowledgedEnd = 1
-	order, _, _ = a.nextPoll()
-	is.Equal(order.Acknowledged, uint64(1))
-	a.handlePoll(reborn, order, driver.HoldReport{Runner: reborn}, nil, 0)
-	order, _, _ = a.nextPoll()
-	is.Equal(order.Acknowledged, uint64(0))
+	onLoop(func() {
+		a.state.acknowledgedEnd = 1
+		order, _, _ = a.nextPoll()
+		is.Equal(order.Acknowledged, uint64(1))
+		a.handlePoll(reborn, order, driver.HoldReport{Runner: reborn}, nil, 0)
+		order, _, _ = a.nextPoll()
+		is.Equal(order.Acknowledged, uint64(0))
+	})
 }
 
 // namedRunner is a runner that answers to its id alone.
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -146,8 +146,9 @@
 // answer.
 func (a *Agent) sendAttempt(o *order, pause time.Duration) {
 	send, clock := a.call(o)
+	sentAt := a.options.Clock()
 	if o.kind == orderStart {
-		a.state.unanswered[o.id] = a.options.Clock()
+		a.state.unanswered[o.id] = sentAt
 	}
 	o.attempts++
 	a.calls.Go(func() {
@@ -155,7 +156,7 @@
 		ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
 		err := send(ctx)
 		cancel()
-		a.loop.Post(func() { a.handleAnswer(o, *clock, err) })
+		a.loop.Post(func() { a.handleAnswer(o, sentAt, *clock, err) })
 	})
 }
 
@@ -179,12 +180,17 @@
 	}, clock
 }
 
-// handleAnswer handles the result of an attempt. The order is sent again if there was no answer, or if
-// an unhealthy runner refused a stop, which would leave a run that is not wanted.
-func (a *Agent) handleAnswer(o *order, clock driver.RunnerTime, err error) {
+// handleAnswer handles the result of an attempt that was sent at sentAt. The order is sent again if there
+// was no answer, or if an unhealthy runner refused a stop, which would leave a run that is not wanted.
+func (a *Agent) handleAnswer(o *order, sentAt time.Duration, clock driver.RunnerTime, err error) {
 	o.err = err
 	if clock > 0 && o.token == a.state.token {
-		a.updateClockOffset(clock)
+		if a.isOtherIncarnation(clock, sentAt) {
+			o.err = errOtherIncarnation
+			a.withdrawStart(o.id)
+		} else {
+			a.updateClockOffset(clock)
+		}
 	}
 	silent := errors.Is(err, driver.ErrRunnerIndeterminate)
 	if silent {
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -33,10 +33,19 @@
 	began  time.Time
 	token  uint64
 	events []string
+	// born identifies the present life of the runner, which began at lifeBegan; runs are its runs.
+	born      int64
+	lifeBegan time.Time
+	runs      map[driver.RunID]bool
+	// stopped holds the runs that were stopped in the present life.
+	stopped map[driver.RunID]bool
 	// answers holds, by task, the answers to the next calls for it; all others are answered with ok.
 	answers map[string][]string
 }
 
+// clock returns the runner's clock.
+func (h *orderHarness) clock() driver.RunnerTime { return driver.RunnerTime(time.Since(h.lifeBegan)) }
+
 func (h *orderHarness) printf(format string, args ...any) {
 	h.events = append(h.events, fmt.Sprintf("%4d "+format+"\n", append([]any{time.Since(h.began).Milliseconds()}, args...)...))
 }
@@ -49,6 +58,12 @@
 			answer, h.answers[task] = next[0], next[1:]
 		}
 		h.printf("runner: %s %s run %d token %d: %s", order, task, run, token, answer)
+		if id := (driver.RunID{Task: task, Run: run}); answer == "ok" && order == "start" {
+			h.runs[id] = true
+		} else if answer == "ok" && order == "stop" {
+			delete(h.runs, id)
+			h.stopped[id] = true
+		}
 	})
 	if answer == "silent" {
 		<-ctx.Done()
@@ -57,7 +72,7 @@
 }
 
 func (h *orderHarness) Start(ctx context.Context, _ driver.RunnerID, r driver.StartRequest) (driver.RunnerTime, error) {
-	return driver.RunnerTime(time.Since(h.began)), h.receive(ctx, "start", r.Task, r.Run, r.Token)
+	return h.clock(), h.receive(ctx, "start", r.Task, r.Run, r.Token)
 }
 
 func (h *orderHarness) Stop(ctx context.Context, _ driver.RunnerID, id driver.RunID, token uint64) error {
@@ -69,7 +84,13 @@
 }
 
 func (h *orderHarness) Hold(context.Context, driver.RunnerID, driver.HoldRequest) (r driver.HoldReport, err error) {
-	return r, driver.ErrRunnerIndeterminate
+	_ = h.agent.loop.Do(func() {
+		r = driver.HoldReport{Runner: driver.RunnerID{ID: "i-1", StartedMillis: h.born}, Clock: h.clock()}
+		for id := range h.runs {
+			r.Running = append(r.Running, driver.ActiveRun{RunID: id})
+		}
+	})
+	return r, nil
 }
 
 // Send implements ownerLink. The owner answers each synchronisation at once.
@@ -87,11 +108,17 @@
 func (h *orderHarness) confirm() {
 	h.token++
 	a := h.agent
-	a.applyOrders(h, &flowpb.Orders{Token: h.token, Runner: "i-1", Born: 1000})
-	a.handlePoll(driver.RunnerID{ID: "i-1"}, driver.HoldRequest{Token: h.token}, driver.HoldReport{Clock: driver.RunnerTime(time.Since(h.began))}, nil, 0)
+	a.applyOrders(h, &flowpb.Orders{Token: h.token, Runner: "i-1", Born: a.state.runner.GetBorn()})
+	h.poll()
 	a.state.leaseEnd = a.options.Clock() + 10*time.Second
 }
 
+// poll has the runner answer a poll under the present token.
+func (h *orderHarness) poll() {
+	id := driver.RunnerID{ID: "i-1", StartedMillis: h.born}
+	h.agent.handlePoll(driver.RunnerID{ID: "i-1"}, driver.HoldRequest{Token: h.token}, driver.HoldReport{Runner: id, Clock: h.clock()}, nil, 0)
+}
+
 // TestOrders runs the scripts in testdata/orders: which attempts of which orders reach the runner when,
 // and what the owner is told of them.
 func TestOrders(t *testing.T) {
@@ -105,7 +132,7 @@
 
 // runOrders runs the lines of one script, and then until nothing is under way.
 func runOrders(t *testing.T, script string) string {
-	h := &orderHarness{t: t, began: time.Now(), answers: map[string][]string{}}
+	h := &orderHarness{t: t, began: time.Now(), born: 1000, lifeBegan: time.Now().Add(-8 * time.Second), runs: map[driver.RunID]bool{}, stopped: map[driver.RunID]bool{}, answers: map[string][]string{}}
 	h.agent = New(Options{Clock: func() time.Duration { return time.Hour + time.Since(h.began) }, MaxLease: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewFlow(telemetry.NewMetrics()), Runner: h})
 	ctx, stop := context.WithCancel(t.Context())
 	h.agent.ctx = ctx
@@ -121,6 +148,7 @@
 	stop()
 	<-done
 	h.agent.calls.Wait()
+	h.agent.guards.Wait()
 	// Calls of the same moment come in any order.
 	slices.Sort(h.events)
 	return strings.Join(h.events, "")
@@ -131,7 +159,7 @@
 	var task string
 	var number int
 	_, _ = fmt.Sscan(rest, &task, &number)
-	a, o := h.agent, &flowpb.Orders{Token: h.token, Runner: "i-1", Born: 1000}
+	a, o := h.agent, &flowpb.Orders{Token: h.token, Runner: "i-1", Born: h.born}
 	switch command {
 	case "answers":
 		task, words, _ := strings.Cut(rest, " ")
@@ -152,10 +180,37 @@
 		return
 	case "polled":
 		// The runner answers a poll under the token that it has accepted before.
+		_ = a.loop.Do(h.poll)
+		return
+	case "restarts":
+		// The runner starts again under its id.
 		_ = a.loop.Do(func() {
-			a.handlePoll(driver.RunnerID{ID: "i-1"}, driver.HoldRequest{Token: h.token}, driver.HoldReport{Clock: driver.RunnerTime(time.Since(h.began))}, nil, 0)
+			h.born, h.lifeBegan = h.born+1000, time.Now()
+			clear(h.runs)
+			clear(h.stopped)
 		})
 		return
+	case "announced":
+		_ = a.loop.Do(func() { a.applyRunner(&flowpb.Runner{Id: "i-1", Born: h.born, MilliCpu: 4}) })
+		return
+	case "late-start":
+		// The runner carries out an attempt that got no answer, under the token of the script's begin.
+		_ = a.loop.Do(func() {
+			if id := (driver.RunID{Task: task, Run: 1}); h.stopped[id] {
+				h.printf("runner: refuses the start of %s late", task)
+			} else {
+				h.printf("runner: carries out the start of %s late", task)
+				h.runs[id] = true
+			}
+		})
+		return
+	case "lease-ends-in":
+		left, err := time.ParseDuration(rest)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		_ = a.loop.Do(func() { a.state.leaseEnd = a.options.Clock() + left })
+		return
 	case "lease-ends":
 		_ = a.loop.Do(func() { a.state.leaseEnd = a.options.Clock() })
 		return
