Take down no VM whose tasks the new owner doesn't know

Cause: a run that a new owner has restored hangs on a worker whose runner isn't known before its agent synchronises, so that RunCounts found no runs for any runner, and Choose takes VMs without runs down at once. A state that wasn't known was taken for zero.

Change: RunCounts tells whether the counts are known: the agent has listed its runs to this owner, or all leases that could hold any have ended. A VM whose tasks aren't known gets no further ones and stays up.

--- a/internal/flow/engine/evacuate.go
+++ b/internal/flow/engine/evacuate.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // SetEvacuating sets the ids of the runners from which all tasks are moved and on which none are
 // placed, in place of those set before.
@@ -12,43 +15,60 @@
 }
 
 // RunCounts returns the number of runs on a runner, and how many of them may not be moved now
-// because of the disruption budget of their step.
-func (e *Engine) RunCounts(runner string) (runs, pinned int) {
+// because of the disruption budget of their step. It is not known while the runner may have runs that
+// its agent has not listed to this owner.
+func (e *Engine) RunCounts(runner string, now Timestamp) (runs, pinned int, known bool) {
+	known = e.earlierLeasesEnded
 	for _, w := range e.workers {
 		if w.info.GetId() != runner {
+			// Restored runs are on workers whose agent has not told yet of its runner.
+			known = known && !slices.ContainsFunc(w.runs.list, func(r *run) bool { return r.incarnation.GetId() == runner })
 			continue
 		}
 		for _, r := range w.runs.list {
 			runs++
-			if !r.withinDisruptionBudget() {
+			if !r.withinDisruptionBudget(now.Monotonic) {
 				pinned++
 			}
 		}
+		return runs, pinned, w.synced || runs == 0 && now.Monotonic > w.leaseEnd
 	}
-	return runs, pinned
+	return 0, 0, known
 }
 
 // withinDisruptionBudget reports whether a run can be stopped without exceeding the disruption
-// budget of its step, which is the number of tasks that may be unavailable at a time.
-func (r *run) withinDisruptionBudget() bool {
+// budget of its step, which is the number of tasks that may be unavailable at a time. A run that is not
+// known to be idle counts as one that serves, and a task that is not known to serve as unavailable.
+func (r *run) withinDisruptionBudget(now time.Duration) bool {
 	s := r.task.step
-	if !s.def.GetLasting() || s.def.GetMayMiss() == 0 || r.phase != phaseRunning || r.progressPercent < fullPace {
+	if !s.def.GetLasting() || s.def.GetMayMiss() == 0 || r.isIdle() {
 		return true
 	}
 	unavailable := uint32(0)
 	for _, t := range s.tasks {
-		if t != r.task && !t.available() {
+		if t != r.task && !t.available(now) {
 			unavailable++
 		}
 	}
 	return unavailable < s.def.GetMayMiss()
 }
 
+// isIdle reports whether the runner has shown that a run does not serve.
+func (r *run) isIdle() bool {
+	switch r.phase {
+	case phaseSent:
+		return false
+	case phaseRunning:
+		return r.progressPercent < fullPace && r.worker.synced
+	}
+	return true
+}
+
 // available reports whether a run of the task is ready to serve, which a long-running task
-// reports as a progress of 100 percent.
-func (t *task) available() bool {
+// reports as a progress of 100 percent. The last report must be recent, under the present token.
+func (t *task) available(now time.Duration) bool {
 	for _, r := range t.runs {
-		if r.phase == phaseRunning && r.progressPercent >= fullPace {
+		if r.phase == phaseRunning && r.progressPercent >= fullPace && r.worker.synced && now-r.worker.reportedAt < maxReportAge {
 			return true
 		}
 	}
@@ -69,7 +89,7 @@
 		}
 		for _, r := range w.runs.list {
 			// A draining runner ends its runs in any case, also those beyond the budget.
-			if r.phase == phaseRunning && (draining || r.withinDisruptionBudget()) && e.shouldMove(r, remaining, now) {
+			if r.phase == phaseRunning && (draining || r.withinDisruptionBudget(now)) && e.shouldMove(r, remaining, now) {
 				e.stopRun(r, now, "the runner is drained or evacuated")
 			}
 		}
--- a/internal/flow/engine/room.go
+++ b/internal/flow/engine/room.go
@@ -59,7 +59,7 @@
 			if r.phase != phaseRunning || !r.task.step.def.GetLasting() || r.task.step.def.GetGang() || r.task.step == s || !s.resources().Fits(room.Plus(r.reserved)) {
 				continue
 			}
-			if smallest != nil && r.reserved.MilliCPU() >= smallest.reserved.MilliCPU() || !r.withinDisruptionBudget() || !e.fitsElsewhere(r, candidates, now) {
+			if smallest != nil && r.reserved.MilliCPU() >= smallest.reserved.MilliCPU() || !r.withinDisruptionBudget(now) || !e.fitsElsewhere(r, candidates, now) {
 				continue
 			}
 			from, smallest = c, r
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -196,10 +196,17 @@
 		if !d.HasArg("ms") {
 			h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
 		}
+		if d.HasArg("unheard") {
+			// No agent has found the new owner yet.
+			return
+		}
 		for _, node := range slices.Sorted(maps.Keys(h.runners)) {
 			h.connect(node)
 		}
 		h.commitAll()
+	case "counts":
+		runs, pinned, known := h.engine.RunCounts("i-"+name, h.now)
+		h.printf("%d runs, %d pinned, known=%t\n", runs, pinned, known)
 	case "show":
 		h.show()
 	default:
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -380,10 +380,13 @@
 }
 
 // RunCounts returns how many tasks run on a runner, and how many of them may not be moved now,
-// because their step's disruption budget is used up.
-func (o *Owner) RunCounts(runner string) (runs, pinned int) {
-	_ = o.loop.Do(func() { runs, pinned = o.engine.RunCounts(runner) })
-	return runs, pinned
+// because their step's disruption budget is used up. It is not known while the runner may have tasks that
+// its agent has not listed to this owner.
+func (o *Owner) RunCounts(runner string) (runs, pinned int, known bool) {
+	if o.loop.Do(func() { runs, pinned, known = o.engine.RunCounts(runner, o.now()) }) != nil {
+		return 0, 0, false
+	}
+	return runs, pinned, known
 }
 
 // SetEvacuating sets the runners from which tasks are moved and on which no new ones are placed,
--- a/internal/flow/upkeep/upkeep.go
+++ b/internal/flow/upkeep/upkeep.go
@@ -31,8 +31,9 @@
 // Cell is the part of the owner of a cell that maintenance uses.
 type Cell interface {
 	// RunCounts returns how many tasks run on a runner, and how many of them may not be moved now,
-	// because their step's disruption budget is used up.
-	RunCounts(runner string) (runs, pinned int)
+	// because their step's disruption budget is used up. It is not known while the runner may have
+	// tasks that its agent has not listed to this owner.
+	RunCounts(runner string) (runs, pinned int, known bool)
 	// SetEvacuating sets the runners from which tasks are moved and on which no new ones are placed,
 	// in place of those set before.
 	SetEvacuating(runners []string)
@@ -178,7 +179,9 @@
 			unfinished++
 			p := PendingVM{VM: name, Unanswered: o.unanswered, Ordered: o.outstanding(now), Resting: o.resting(now)}
 			if exists {
-				p.Runs, p.Pinned = m.options.Cell.RunCounts(vm.Runner)
+				known := false
+				p.Runs, p.Pinned, known = m.options.Cell.RunCounts(vm.Runner)
+				p.Unreported = !known
 			}
 			pending = append(pending, p)
 		default:
--- a/internal/flow/upkeep/upkeep_test.go
+++ b/internal/flow/upkeep/upkeep_test.go
@@ -52,11 +52,14 @@
 	tasks, pinned  map[string]int
 	evacuatedSince map[string]time.Time
 	evacuating     []string
-	seenToken      map[string]uint64
-	downUntil      map[string]time.Time
-	begun, gone    map[string]bool
-	completed      bool
-	record         driver.WaveOrders
+	// reportsAfter is how long after a takeover the agents report; until then no tasks are known.
+	reportsAfter time.Duration
+	reportsFrom  time.Time
+	seenToken    map[string]uint64
+	downUntil    map[string]time.Time
+	begun, gone  map[string]bool
+	completed    bool
+	record       driver.WaveOrders
 	// drawWrite returns whether the next write of the record is stored and answered.
 	drawWrite func() (stored, answered bool)
 	// load is how many tasks are placed on a VM while it is up and not evacuated.
@@ -109,6 +112,9 @@
 	case token < p.seenToken[name]:
 		return driver.ErrFenced
 	}
+	if !p.begun[name] && p.pinned[name] > 0 {
+		p.fault("%s goes down with %d pinned tasks", name, p.pinned[name])
+	}
 	p.seenToken[name] = token
 	if p.begun[name] {
 		return nil
@@ -187,13 +193,16 @@
 }
 
 // RunCounts implements Cell.
-func (p *fakePlatform) RunCounts(name string) (runs, pinned int) {
+func (p *fakePlatform) RunCounts(name string) (runs, pinned int, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if time.Now().Before(p.reportsFrom) {
+		return 0, 0, false
+	}
 	if since, is := p.evacuatedSince[name]; is && time.Since(since) >= evacuationTime {
 		p.tasks[name] = p.pinned[name]
 	}
-	return p.tasks[name], p.pinned[name]
+	return p.tasks[name], p.pinned[name], true
 }
 
 // SetEvacuating implements Cell.
@@ -300,6 +309,7 @@
 	if token > testToken {
 		// The new owner does not know of evacuations.
 		p.SetEvacuating(nil)
+		p.reportsFrom = time.Now().Add(p.reportsAfter)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	m := New(Options{
@@ -336,16 +346,18 @@
 // TestOrders carries out the waves in testdata/orders. A line names a VM, the outcomes of the orders
 // for it, each with how many orders it is for, and with tasks= and pinned= what runs on it, with load=
 // what is placed on it. All later orders are answered. A VM with gone= is removed after that time. Another
-// owner takes the wave over after takeover-ms=.
+// owner takes the wave over after takeover-ms=, which the agents report to reports-after-ms= later.
 func TestOrders(t *testing.T) {
 	datadriven.RunTest(t, "testdata/orders", func(t *testing.T, d *datadriven.TestData) (out string) {
 		seconds, w := 60, driver.Wave{Number: 1, MaxDown: 1, Duration: time.Minute}
 		d.MaybeScanArgs(t, "for", &seconds)
 		d.MaybeScanArgs(t, "most", &w.MaxDown)
-		takeoverMillis := 0
+		takeoverMillis, reportsAfterMillis := 0, 0
 		d.MaybeScanArgs(t, "takeover-ms", &takeoverMillis)
+		d.MaybeScanArgs(t, "reports-after-ms", &reportsAfterMillis)
 		synctest.Test(t, func(t *testing.T) {
 			p := newFakePlatform(w)
+			p.reportsAfter = time.Duration(reportsAfterMillis) * time.Millisecond
 			for _, line := range strings.Split(d.Input, "\n") {
 				words := strings.Fields(line)
 				name := words[0]
