--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -151,6 +151,20 @@
 	return now-e.startedAt > warmUpTime
 }
 
+// awaitsReports reports whether runners that had runs under the owner before have yet to list them. Until
+// then the room on them is not known, for warmUpTime at most.
+func (e *Engine) awaitsReports(now time.Duration) bool {
+	if e.warmedUp(now) {
+		return false
+	}
+	for _, w := range e.workers {
+		if !w.synced && w.runs.len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // admissionLoad returns the load on the runners of a job's service with that job, and whether the
 // job may be shed. Recurring jobs and jobs with long-running tasks are always admitted.
 func (e *Engine) admissionLoad(j *job, first *occurrence) (l Load, sheddable bool) {
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -408,9 +408,10 @@
 }
 
 // preempt stops runs of lower priority on the worker where the least work is lost, so that a task
-// of the step can be placed there in a later round.
+// of the step can be placed there in a later round. None is stopped while others may have room that a
+// new owner doesn't know of yet.
 func (e *Engine) preempt(s *step, now time.Duration) {
-	if now-s.preemptedAt < preemptInterval && s.preemptedAt > 0 {
+	if now-s.preemptedAt < preemptInterval && s.preemptedAt > 0 || e.awaitsReports(now) {
 		return
 	}
 	var victims []*run
--- a/internal/flow/engine/room.go
+++ b/internal/flow/engine/room.go
@@ -45,7 +45,7 @@
 // its place. It chooses the smallest for which another worker has room. Without it, the loss of a few
 // workers of a full fleet can leave room in pieces that are each too small.
 func (e *Engine) moveForRoom(s *step, candidates []*candidate, now time.Duration) {
-	if now-s.movedForAt < moveInterval && s.movedForAt > 0 {
+	if now-s.movedForAt < moveInterval && s.movedForAt > 0 || e.awaitsReports(now) {
 		return
 	}
 	var from *candidate
