Count with a longer lease also where the agent or the owner is new

With the agent restarted too, or the cell taken over, a task ran twice if the agent was not heard from (TestEngine/late-start-takeover, always red so far).

Change: the owner itself notices a runner that comes under its id with another start time. Runs carry a mark in their stored assignment while their runner may hold such a lease; a new owner that reads it counts with the longest lease on that runner. The mark goes with the first list after the lease has ended, so that later takeovers wait no longer than before; waiting so on every silent runner would break LOST. The field is new in the record and absent in old ones.

--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -33,6 +33,13 @@
 	w.token, w.synced, w.resyncSentAt = e.lastToken, false, now.Monotonic
 	w.connected = true
 	info := s.GetRunner()
+	if held := saturate.Millis(s.GetLeaseMillis()); held > 0 {
+		w.expectForeignLease(now.Monotonic, held)
+	}
+	if w.hasOtherIncarnation(info) {
+		// An agent that restarted as well does not know of the incarnation before.
+		w.expectForeignLease(now.Monotonic, e.options.MaxLease)
+	}
 	if !sameIncarnation(w.info, info) {
 		w.acknowledgedEnd, w.processedEnd, w.heldEnds, w.orphanRuns, w.health = 0, 0, nil, map[driver.RunID]time.Duration{}, health{}
 		for _, r := range w.runs.list {
@@ -41,9 +48,6 @@
 		}
 	}
 	w.info = info
-	if held := saturate.Millis(s.GetLeaseMillis()); held > 0 {
-		w.leaseEnd = max(w.leaseEnd, leaseExpiry(now.Monotonic, held, held))
-	}
 	unanswered := map[driver.RunID]bool{}
 	for _, key := range s.GetUnanswered() {
 		unanswered[driver.RunID{Task: key.GetTask(), Run: key.GetRun()}] = true
@@ -120,6 +124,11 @@
 		seen[id] = true
 		if r := w.runs.get(id); r != nil {
 			r.incarnation = w.info
+			if isForeign := now.Monotonic < w.foreignLeaseEnd; r.foreignLease != isForeign {
+				// A new owner has to know.
+				r.foreignLease = isForeign
+				e.markDirty(r.task.step.job())
+			}
 			e.updateProgress(r, reported, now.Monotonic)
 		} else if _, known := w.orphanRuns[id]; !known {
 			w.orphanRuns[id] = 0
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -34,6 +34,9 @@
 	AcquiredAt time.Duration
 	// Lease is how long a runner may run tasks after sending a report that the owner answered.
 	Lease time.Duration
+	// MaxLease is the longest lease that a runner holds, which it may take from a request meant for an
+	// earlier incarnation.
+	MaxLease time.Duration
 	// Retention is how long a job can be read after its end.
 	Retention time.Duration
 	// LateFactor bounds the use of late results: a job that takes more than this many times its
@@ -123,6 +126,9 @@
 		r := &run{task: t, number: a.GetRun(), phase: phaseSent, batched: true, sentAt: now.Monotonic, reserved: t.step.resources(), pace: 100, milliCPU: t.step.def.GetMilliCpu(), incarnation: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
 		// The owner before may have set another pace.
 		r.repeatPaceUntil = now.Monotonic + driver.MaxOrderDelay
+		if r.foreignLease = a.GetForeignLease(); r.foreignLease {
+			w.expectForeignLease(e.options.AcquiredAt, e.options.MaxLease)
+		}
 		t.runs = append(t.runs, r)
 		t.step.job().liveRuns++
 		w.attach(r)
--- a/internal/flow/engine/job.go
+++ b/internal/flow/engine/job.go
@@ -211,7 +211,7 @@
 	}
 	p.Checkpoint = t.checkpoint
 	for _, r := range t.runs {
-		p.Assignments = append(p.Assignments, &flowpb.Assignment{Run: r.number, Node: r.worker.node, Runner: r.incarnation.GetId(), Born: r.incarnation.GetBorn()})
+		p.Assignments = append(p.Assignments, &flowpb.Assignment{Run: r.number, Node: r.worker.node, Runner: r.incarnation.GetId(), Born: r.incarnation.GetBorn(), ForeignLease: r.foreignLease})
 	}
 	return p
 }
@@ -230,7 +230,7 @@
 	}
 	for i, a := range p.GetAssignments() {
 		r := t.runs[i]
-		if r.number != a.GetRun() || r.worker.node != a.GetNode() || r.incarnation.GetId() != a.GetRunner() || r.incarnation.GetBorn() != a.GetBorn() {
+		if r.number != a.GetRun() || r.worker.node != a.GetNode() || r.incarnation.GetId() != a.GetRunner() || r.incarnation.GetBorn() != a.GetBorn() || r.foreignLease != a.GetForeignLease() {
 			return true
 		}
 	}
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -268,7 +268,9 @@
 	// incarnation identifies the incarnation of the runner that the run was planned for, or that
 	// has listed it.
 	incarnation *flowpb.Runner
-	checkpoint  string
+	// foreignLease is set while the run may have a longer lease than any owner granted.
+	foreignLease bool
+	checkpoint   string
 	// batched is set once the run has been included in a batch, whether or not that batch has
 	// been stored yet.
 	batched bool
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -398,7 +398,7 @@
 // run is durable.
 func (e *Engine) addRun(t *task, c *candidate, number uint32, now time.Duration) {
 	s := t.step
-	r := &run{task: t, number: number, reserved: s.resources(), pace: 100, milliCPU: s.def.GetMilliCpu(), incarnation: c.worker.info, checkpoint: t.checkpoint, progressedAt: now}
+	r := &run{task: t, number: number, reserved: s.resources(), pace: 100, milliCPU: s.def.GetMilliCpu(), incarnation: c.worker.info, foreignLease: now < c.worker.foreignLeaseEnd, checkpoint: t.checkpoint, progressedAt: now}
 	t.lastRun = number
 	t.runs = append(t.runs, r)
 	s.job().liveRuns++
--- a/internal/flow/engine/takeover_test.go
+++ b/internal/flow/engine/takeover_test.go
@@ -82,7 +82,7 @@
 			"end":          func(t *rapid.T) { m.end(m.runner(t), t) },
 			"crash":        func(t *rapid.T) { m.crash(m.runner(t), rapid.Bool().Draw(t, "returns")) },
 			"run normally": func(*rapid.T) { m.runNormally() },
-			"run slowly":   func(*rapid.T) { m.runSlowly() },
+			"run slowly":   func(t *rapid.T) { m.runSlowly(rapid.IntRange(0, modelRunners).Draw(t, "unheard")) },
 			"report early": func(*rapid.T) { m.reportBeforeFirstCommit() },
 		})
 	})
@@ -209,7 +209,7 @@
 func (m *model) takeOver() {
 	m.head = [2]uint64{m.head[0] + 1, 0}
 	o := &modelOwner{head: m.head, sessions: map[*modelRunner]bool{}}
-	o.engine = New(Options{Epoch: m.head[0], AcquiredAt: m.now, Lease: modelLease, Retention: time.Hour, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	o.engine = New(Options{Epoch: m.head[0], AcquiredAt: m.now, Lease: modelLease, MaxLease: modelMaxLease, Retention: time.Hour, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	o.engine.Configure(map[string]Queue{testQueue.Name: testQueue})
 	var err error
 	if o.ring, err = m.store.restore(o.engine, m.timestamp()); err != nil {
@@ -682,11 +682,15 @@
 	}
 }
 
-// runSlowly lets runs go on until they are late, so that the last owner orders speculative copies.
-func (m *model) runSlowly() {
+// runSlowly lets runs go on until they are late, so that the last owner orders speculative copies. One of the
+// runners may not find it meanwhile; its number is unheard.
+func (m *model) runSlowly(unheard int) {
 	o := m.owners[len(m.owners)-1]
 	for range 4 {
-		for _, r := range m.runners {
+		for i, r := range m.runners {
+			if r.owner != o && i == unheard {
+				continue
+			}
 			if r.owner != o {
 				m.connect(r, o)
 			}
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -32,6 +32,9 @@
 	// leaseEnd is when all leases have expired, those of earlier owners included, so that no run
 	// can be live any more.
 	leaseEnd time.Duration
+	// foreignLeaseEnd is until when the runner may hold a lease that no owner granted, which it took from a
+	// request meant for an earlier incarnation. leaseEnd is no earlier.
+	foreignLeaseEnd time.Duration
 	// grantedUntil is the end of the last lease that this owner has granted.
 	grantedUntil time.Duration
 	// reportedAt and reportSequence are the arrival and the number of the last report.
@@ -146,6 +149,22 @@
 	return labels[len(labels)-1]
 }
 
+// expectForeignLease records that the runner may hold a lease of a length, from at the latest on, that no owner
+// granted.
+func (w *worker) expectForeignLease(from, length time.Duration) {
+	w.foreignLeaseEnd = max(w.foreignLeaseEnd, leaseExpiry(from, length, length))
+	w.leaseEnd = max(w.leaseEnd, w.foreignLeaseEnd)
+}
+
+// hasOtherIncarnation reports whether the owner, or the one before, knew the runner of info in another
+// incarnation.
+func (w *worker) hasOtherIncarnation(info *flowpb.Runner) bool {
+	isOther := func(known *flowpb.Runner) bool {
+		return known.GetId() == info.GetId() && known.GetBorn() != info.GetBorn()
+	}
+	return isOther(w.info) || slices.ContainsFunc(w.runs.list, func(r *run) bool { return isOther(r.incarnation) })
+}
+
 // schedulable reports whether new tasks may be placed on the worker. An agent without a lease of
 // this owner may refuse starts.
 func (w *worker) schedulable(now time.Duration) bool {
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -74,7 +74,7 @@
 // some time ago.
 func (h *harness) restart(ago time.Duration) {
 	h.epoch++
-	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	var err error
 	if h.ring, err = h.store.restore(h.engine, h.now); err != nil {
 		h.t.Fatal(err)
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -59,11 +59,13 @@
 	Identity owner.Identity
 	Zone     string
 	// CPUShare is the share of a processor that this process has.
-	CPUShare  float64
-	Store     driver.TxnStore
-	Clock     steady.Clock
-	Follower  *locate.Follower
-	Lease     time.Duration
+	CPUShare float64
+	Store    driver.TxnStore
+	Clock    steady.Clock
+	Follower *locate.Follower
+	Lease    time.Duration
+	// MaxLease is the longest lease that a runner holds.
+	MaxLease  time.Duration
 	Retention time.Duration
 	// Adviser is nil if the deployment has no admission service.
 	Adviser driver.Adviser
@@ -357,7 +359,7 @@
 // runOwner runs the owner of a cell that has been acquired after the owner before.
 func (n *Node) runOwner(ctx context.Context, fenced *owner.FencedStore, before *flowpb.Owner) {
 	opts := owner.Options{
-		Cell: n.options.Cell, FencedStore: fenced, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease,
+		Cell: n.options.Cell, FencedStore: fenced, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease, MaxLease: n.options.MaxLease,
 		Retention: n.options.Retention, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
 	}
 	local, err := owner.New(ctx, opts, n.queues())
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -45,7 +45,9 @@
 	Store       driver.TxnStore
 	Clock       steady.Clock
 	// Lease is the longest time that a runner may run tasks after a report that the owner answered.
-	Lease     time.Duration
+	Lease time.Duration
+	// MaxLease is the longest lease that a runner holds.
+	MaxLease  time.Duration
 	Retention time.Duration
 	// Adviser is nil if the deployment has no admission service.
 	Adviser driver.Adviser
@@ -96,7 +98,7 @@
 func New(ctx context.Context, opts Options, queues map[string]engine.Queue) (o *Owner, err error) {
 	o = &Owner{
 		options: opts, fenced: opts.FencedStore, loop: loop.New(), commits: make(chan commitRequest, 1),
-		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
+		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, MaxLease: opts.MaxLease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
 		state:  loopState{links: map[string]*link.Link{}, pendingCalls: map[uint64]func(*flowpb.Reply){}},
 	}
 	o.storeCtx, o.abandon = context.WithCancel(context.WithoutCancel(ctx))
