Say that there is no job only once the store knows of none

Cause: the owner's answer that it knows no such job was passed on as if there were none; only without an owner did an entry look into the inbox.

Change: a read or a cancel of a job that the owner doesn't know is served from the store: a job found there is shown, its cancel is written to the inbox behind it, and 410 means that the store holds none. If the store can't tell, the call is answered at once with 503 and Retry-After. At most four such look-ups run at a time, as the store's reads are shared.

The new cases of TestRefusalOfLastAttemptDeniesEarlierOnes gave NOT_FOUND before for a job in the inbox and with a store that refuses.

--- a/internal/flow/entry/attempts_test.go
+++ b/internal/flow/entry/attempts_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/flow/link"
+	"github.com/jasminebay/jasminebay/internal/flow/owner"
 	"github.com/jasminebay/jasminebay/internal/loop"
 )
 
@@ -40,6 +41,13 @@
 		s := &scriptedCell{is: is.New(t), node: n, store: store}
 		ctx, cancel := context.WithTimeout(t.Context(), attemptsTimeout)
 		defer cancel()
+		if d.HasArg("inbox") {
+			// Another entry has accepted the job.
+			s.is.NoErr(owner.EnqueueJob(ctx, store, n.options.Cell, calls["submit"].GetSubmit()))
+		}
+		if d.HasArg("store-refuses") {
+			store.setFault(func(string, string) fault { return fault{refused: true} })
+		}
 		var result string
 		attempts := strings.Split(d.Input, "\n")
 		end := s.prepare(ctx, attempts[0])
@@ -50,6 +58,9 @@
 		}
 		<-called
 		end()
+		if item, err := store.Get(ctx, n.options.Cell+"/inbox/cancel-j"); err == nil && len(item.Value()) > 0 {
+			result += "a cancel is in the inbox\n"
+		}
 		return result
 	})
 }
--- a/internal/flow/entry/call.go
+++ b/internal/flow/entry/call.go
@@ -25,6 +25,9 @@
 	// ownerTimeout is how long a call waits while the cell has no owner. A takeover takes about as
 	// long.
 	ownerTimeout = 900 * time.Millisecond
+	// maxLookups bounds how many jobs that the owner doesn't know are looked up at a time. The store
+	// answers a few thousand reads a second, which it shares among all entries.
+	maxLookups = 4
 	// inboxDelay is how long a call waits for an owner before it is served from the store.
 	inboxDelay = 120 * time.Millisecond
 )
@@ -74,12 +77,18 @@
 			r, err = remote.call(ctx, call)
 		case time.Since(waitingSince) > inboxDelay && !triedStore && call.GetCount() == "":
 			triedStore = true
-			if r, err = n.serveFromStore(ctx, call); err != nil && !errors.Is(err, driver.ErrIndeterminate) {
-				err = errNotSent
-			}
+			r, err = n.tryStore(ctx, call)
 		default:
 			err = errNotSent
 		}
+		isUnknown := err == nil && r.GetStatus() == flowpb.Status_STATUS_NOT_FOUND && call.GetRead()+call.GetCancel() != ""
+		if isUnknown && (local != nil || remote != nil) {
+			if r, err = n.lookUp(ctx, call); err != nil {
+				// The store is not asked again: a client that is told when to come back waits no longer.
+				indeterminate = indeterminate || !errors.Is(err, errNotSent)
+				break
+			}
+		}
 		if err == nil && indeterminate && mayContradict(call, r.GetStatus()) {
 			return nil, ErrIndeterminate
 		}
@@ -101,6 +110,26 @@
 	return nil, ErrNotRun
 }
 
+// lookUp serves a read or a cancel of a job that the owner doesn't know. Another entry may have accepted it
+// into the inbox, of which the owner hears later, so that only the store knows that there is none.
+func (n *Node) lookUp(ctx context.Context, call *flowpb.Call) (*flowpb.Reply, error) {
+	select {
+	case n.lookups <- struct{}{}:
+		defer func() { <-n.lookups }()
+	case <-ctx.Done():
+		return nil, errNotSent
+	}
+	return n.tryStore(ctx, call)
+}
+
+// tryStore serves a call from the store. It returns errNotSent if the call has certainly no effect.
+func (n *Node) tryStore(ctx context.Context, call *flowpb.Call) (r *flowpb.Reply, err error) {
+	if r, err = n.serveFromStore(ctx, call); err != nil && !errors.Is(err, driver.ErrIndeterminate) {
+		err = errNotSent
+	}
+	return r, err
+}
+
 // mayContradict reports whether the status of a reply may be wrong about a call of which an earlier
 // attempt got no answer, as that attempt may have taken effect or may still do so. A refusal of a job or
 // a cancel is wrong then. That no job is found remains true for a cancel, which creates none.
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -94,7 +94,9 @@
 	releasedAt  time.Duration
 	peers       map[string]peerState
 	release     context.CancelFunc
-	sessions    sync.WaitGroup
+	// lookups holds an element for each job that is being looked up in the store.
+	lookups  chan struct{}
+	sessions sync.WaitGroup
 }
 
 type peerState struct {
@@ -104,7 +106,7 @@
 
 // New returns a Node. Run and Serve must be called next.
 func New(o Options) *Node {
-	return &Node{options: o, changed: make(chan struct{}), peers: map[string]peerState{}, ownerLostAt: o.Clock()}
+	return &Node{options: o, changed: make(chan struct{}), peers: map[string]peerState{}, lookups: make(chan struct{}, maxLookups), ownerLostAt: o.Clock()}
 }
 
 // Apply puts a configuration in force if it is newer than the current one.
