Spend the disruption budget of a round once

Cause: the maintainer read all counts before it sent its first order, and the owner counted the tasks of a VM that was going down as available until its agent said that the runner was gone.

Change: before each order the owner takes the runs of the VM out of the budget of their steps, or refuses. Moves, evacuations and the next orders see what is taken, for the 15 s in which an order may be carried out late.

--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -391,6 +391,13 @@
 	return runs, pinned, known
 }
 
+// TakeDown reports whether a VM may be taken down now with all tasks on its runner. If so, they count as
+// unavailable from then on.
+func (o *Owner) TakeDown(runner string) (allowed bool) {
+	_ = o.loop.Do(func() { allowed = !o.state.stopped && o.engine.TakeDown(runner, o.now()) })
+	return allowed
+}
+
 // SetEvacuating sets the runners from which tasks are moved and on which no new ones are placed,
 // in place of those set before.
 func (o *Owner) SetEvacuating(runners []string) {
--- a/internal/flow/upkeep/upkeep_test.go
+++ b/internal/flow/upkeep/upkeep_test.go
@@ -205,6 +205,12 @@
 	return p.tasks[name], p.pinned[name], true
 }
 
+// TakeDown implements Cell.
+func (p *fakePlatform) TakeDown(name string) bool {
+	_, pinned, known := p.RunCounts(name)
+	return known && pinned == 0
+}
+
 // SetEvacuating implements Cell.
 func (p *fakePlatform) SetEvacuating(names []string) {
 	p.mu.Lock()
