Refuse a start that is too old, wherever it has waited

Cause: the agent counted the age of a start from its arrival, so that what it had waited before was not counted.

Change: orders name the last report of the agent that the owner had heard, as grants do; the agent refuses a start, and each further attempt of it, 1 s after it sent that report. The bound is that of the rule, on the agent's own clock. Owners of an earlier release name no report, and their starts count from their arrival.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -36,6 +36,10 @@
 	// maxStartDelay is how long a start may wait in the agent before its first attempt or the next. The
 	// owner then places the task elsewhere, and what it has decided since can't be far behind.
 	maxStartDelay = 500 * time.Millisecond
+	// maxStartAge is how long after the agent's report that the owner had last heard a start is sent to the
+	// runner at the latest. Its task may have ended elsewhere meanwhile, and no start may come later than
+	// 1 s after that (RULES.md, TWICE).
+	maxStartAge = time.Second
 	// maxDoubtDelay is how long a start in doubt waits for others before the agent synchronises, the
 	// time of all attempts of one start.
 	maxDoubtDelay = maxOrderAttempts * orderTimeout
@@ -382,7 +386,7 @@
 	a.state.acknowledgedEnd = max(a.state.acknowledgedEnd, o.GetSettled())
 	a.wake()
 	for _, s := range o.GetStarts() {
-		a.addStart(s)
+		a.addStart(s, a.heardAt(o))
 	}
 	for _, s := range o.GetStops() {
 		a.addStop(driver.RunID{Task: s.GetTask(), Run: s.GetRun()})
@@ -392,6 +396,19 @@
 	}
 }
 
+// heardAt returns when the agent sent the report that the owner had last heard as it sent the orders, so
+// that their age is known though clocks differ. It is 0 if the report is too old.
+func (a *Agent) heardAt(o *flowpb.Orders) time.Duration {
+	switch {
+	case o.GetReport() == 0:
+		// An owner of an earlier release names no report.
+		return a.options.Clock()
+	case a.state.sequence-o.GetReport() >= reportHistory:
+		return 0
+	}
+	return a.state.reportSentAt[o.GetReport()%reportHistory]
+}
+
 // wake wakes the goroutine that polls the runner.
 func (a *Agent) wake() {
 	select {
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -35,6 +35,8 @@
 	// start is the order of a start, percent that of a pace.
 	start   *flowpb.Start
 	percent int
+	// heardAt is when the agent sent the report on which a start is based.
+	heardAt time.Duration
 	// next is the pace that is to follow one that has been sent, or nil.
 	next *int
 	// withdrawn is set once the run of a start is to be stopped.
@@ -136,7 +138,7 @@
 		return errDraining
 	case !a.state.tokenConfirmed || a.runnerLeaseEnd() == 0:
 		return errNoLease
-	case a.options.Clock()-o.receivedAt > maxStartDelay:
+	case a.options.Clock()-o.receivedAt > maxStartDelay, a.options.Clock()-o.heardAt > maxStartAge:
 		return errOverdue
 	}
 	return nil
@@ -246,8 +248,8 @@
 }
 
 // addStart adds a start, whose outcome is reported to the owner.
-func (a *Agent) addStart(s *flowpb.Start) {
-	a.addOrder(&order{kind: orderStart, id: driver.RunID{Task: s.GetTask(), Run: s.GetRun()}, start: s})
+func (a *Agent) addStart(s *flowpb.Start, heardAt time.Duration) {
+	a.addOrder(&order{kind: orderStart, id: driver.RunID{Task: s.GetTask(), Run: s.GetRun()}, start: s, heardAt: heardAt})
 }
 
 // finishStart reports the outcome of a start to the owner, unless a synchronisation has begun since,
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -232,6 +232,14 @@
 		return
 	case "start":
 		o.Starts = append(o.Starts, &flowpb.Start{Task: task, Run: 1})
+	case "aged-start":
+		// The owner has sent the start after a report that the agent sent so many milliseconds ago.
+		o.Starts = append(o.Starts, &flowpb.Start{Task: task, Run: 1})
+		_ = a.loop.Do(func() {
+			a.state.sequence++
+			a.state.reportSentAt[a.state.sequence%reportHistory] = a.options.Clock() - time.Duration(number)*time.Millisecond
+			o.Report = a.state.sequence
+		})
 	case "starts":
 		for i := range number {
 			o.Starts = append(o.Starts, &flowpb.Start{Task: fmt.Sprintf("%s.%d", task, i), Run: 1})
--- a/internal/flow/engine/batch.go
+++ b/internal/flow/engine/batch.go
@@ -225,15 +225,15 @@
 	}
 }
 
-// ordersFor returns the orders that are sent next to a worker, with current token and
-// acknowledgement.
+// ordersFor returns the orders that are sent next to a worker, with current token,
+// acknowledgement and last report.
 func (e *Engine) ordersFor(w *worker) *flowpb.Orders {
 	o := e.effects.Orders[w.node]
 	if o == nil {
 		o = &flowpb.Orders{}
 		e.effects.Orders[w.node] = o
 	}
-	o.Token, o.Settled, o.Runner, o.Born = w.token, w.acknowledgedEnd, w.info.GetId(), w.info.GetBorn()
+	o.Token, o.Settled, o.Report, o.Runner, o.Born = w.token, w.acknowledgedEnd, w.reportSequence, w.info.GetId(), w.info.GetBorn()
 	return o
 }
 
