Name in orders with a grant the report that the grant answers

Orders name the last report that the owner has heard since, also those with a grant. If another report came before the orders were sent, the agent would have counted the grant from that later one, and a lease could have outlasted what the owner counts with. Today's owner sends orders after each report, so that it could not come to that; found by reading.

--- a/internal/flow/engine/batch.go
+++ b/internal/flow/engine/batch.go
@@ -233,7 +233,11 @@
 		o = &flowpb.Orders{}
 		e.effects.Orders[w.node] = o
 	}
-	o.Token, o.Settled, o.Report, o.Runner, o.Born = w.token, w.acknowledgedEnd, w.reportSequence, w.info.GetId(), w.info.GetBorn()
+	o.Token, o.Settled, o.Runner, o.Born = w.token, w.acknowledgedEnd, w.info.GetId(), w.info.GetBorn()
+	if o.GetGrantMillis() == 0 {
+		// A grant counts from the report that it answers, not from a later one.
+		o.Report = w.reportSequence
+	}
 	return o
 }
 
