--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -103,7 +103,7 @@
 				return
 			}
 			if due {
-				a.stopAll(runner, token)
+				a.stopListedRuns(runner, token)
 			}
 		}
 	})
@@ -115,8 +115,8 @@
 	return a.state.runner != nil && a.state.leaseEnd < a.state.foreignLeaseEnd && a.options.Clock() > a.state.leaseEnd-leaseStopTime
 }
 
-// stopAll stops all runs on a runner. Those without an answer are found again by the next call.
-func (a *Agent) stopAll(runner driver.RunnerID, token uint64) {
+// stopListedRuns stops all runs on a runner. Those without an answer are found again by the next call.
+func (a *Agent) stopListedRuns(runner driver.RunnerID, token uint64) {
 	ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
 	report, err := a.options.Runner.Hold(ctx, runner, driver.HoldRequest{Token: token})
 	cancel()
--- a/internal/flow/engine/evacuate.go
+++ b/internal/flow/engine/evacuate.go
@@ -38,10 +38,10 @@
 	return 0, 0, known
 }
 
-// TakeDown reports whether a VM may be taken down now with all runs on its runner. If so, their tasks count as
+// AllowTakeDown reports whether a VM may be taken down now with all runs on its runner. If so, their tasks count as
 // unavailable from then on, so that no other decision spends the same budget. An order to take the VM
 // down may be carried out late, so that they do for driver.MaxOrderDelay.
-func (e *Engine) TakeDown(runner string, now Timestamp) bool {
+func (e *Engine) AllowTakeDown(runner string, now Timestamp) bool {
 	if _, _, known := e.RunCounts(runner, now); !known {
 		return false
 	}
@@ -53,28 +53,28 @@
 		for _, r := range w.runs.list {
 			if !r.withinDisruptionBudget(now.Monotonic) {
 				for _, t := range taken {
-					t.takenUntil = 0
+					t.takeDownUntil = 0
 				}
 				return false
 			}
-			if !r.isTaken(now.Monotonic) {
+			if !r.mayBeTakenDown(now.Monotonic) {
 				taken = append(taken, r)
 			}
-			r.takenUntil = now.Monotonic + driver.MaxOrderDelay
+			r.takeDownUntil = now.Monotonic + driver.MaxOrderDelay
 		}
 	}
 	return true
 }
 
-// isTaken reports whether the VM of a run may go down at any time.
-func (r *run) isTaken(now time.Duration) bool { return now < r.takenUntil }
+// mayBeTakenDown reports whether the VM of a run may go down at any time.
+func (r *run) mayBeTakenDown(now time.Duration) bool { return now < r.takeDownUntil }
 
 // withinDisruptionBudget reports whether a run can be stopped without exceeding the disruption
 // budget of its step, which is the number of tasks that may be unavailable at a time. A run that is not
 // known to be idle counts as one that serves, and a task that is not known to serve as unavailable.
 func (r *run) withinDisruptionBudget(now time.Duration) bool {
 	s := r.task.step
-	if !s.def.GetLasting() || s.def.GetMayMiss() == 0 || r.isTaken(now) || r.isIdle() {
+	if !s.def.GetLasting() || s.def.GetMayMiss() == 0 || r.mayBeTakenDown(now) || r.isIdle() {
 		return true
 	}
 	unavailable := uint32(0)
@@ -101,7 +101,7 @@
 // reports as a progress of 100 percent. The last report must be recent, under the present token.
 func (t *task) available(now time.Duration) bool {
 	for _, r := range t.runs {
-		if r.phase == phaseRunning && r.progressPercent >= fullPace && r.worker.synced && now-r.worker.reportedAt < maxReportAge && !r.isTaken(now) {
+		if r.phase == phaseRunning && r.progressPercent >= fullPace && r.worker.synced && now-r.worker.reportedAt < maxReportAge && !r.mayBeTakenDown(now) {
 			return true
 		}
 	}
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -268,8 +268,8 @@
 	// incarnation identifies the incarnation of the runner that the run was planned for, or that
 	// has listed it.
 	incarnation *flowpb.Runner
-	// takenUntil is until when the VM of the run may be taken down by an order that was sent.
-	takenUntil time.Duration
+	// takeDownUntil is until when the VM of the run may be taken down by an order that was sent.
+	takeDownUntil time.Duration
 	// foreignLease is set while the run may have a longer lease than any owner granted.
 	foreignLease bool
 	checkpoint   string
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -205,7 +205,7 @@
 		}
 		h.commitAll()
 	case "take-down":
-		h.printf("%t\n", h.engine.TakeDown("i-"+name, h.now))
+		h.printf("%t\n", h.engine.AllowTakeDown("i-"+name, h.now))
 	case "counts":
 		runs, pinned, known := h.engine.RunCounts("i-"+name, h.now)
 		h.printf("%d runs, %d pinned, known=%t\n", runs, pinned, known)
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -391,10 +391,10 @@
 	return runs, pinned, known
 }
 
-// TakeDown reports whether a VM may be taken down now with all tasks on its runner. If so, they count as
+// AllowTakeDown reports whether a VM may be taken down now with all tasks on its runner. If so, they count as
 // unavailable from then on.
-func (o *Owner) TakeDown(runner string) (allowed bool) {
-	_ = o.loop.Do(func() { allowed = !o.state.stopped && o.engine.TakeDown(runner, o.now()) })
+func (o *Owner) AllowTakeDown(runner string) (allowed bool) {
+	_ = o.loop.Do(func() { allowed = !o.state.stopped && o.engine.AllowTakeDown(runner, o.now()) })
 	return allowed
 }
 
--- a/internal/flow/upkeep/upkeep.go
+++ b/internal/flow/upkeep/upkeep.go
@@ -34,9 +34,9 @@
 	// because their step's disruption budget is used up. It is not known while the runner may have
 	// tasks that its agent has not listed to this owner.
 	RunCounts(runner string) (runs, pinned int, known bool)
-	// TakeDown reports whether a VM may be taken down now with all tasks on its runner. If so, they
+	// AllowTakeDown reports whether a VM may be taken down now with all tasks on its runner. If so, they
 	// count as unavailable from then on.
-	TakeDown(runner string) bool
+	AllowTakeDown(runner string) bool
 	// SetEvacuating sets the runners from which tasks are moved and on which no new ones are placed,
 	// in place of those set before.
 	SetEvacuating(runners []string)
@@ -200,7 +200,7 @@
 	for _, name := range toStart {
 		// The list of VMs and the counts of tasks are old after a call without an answer. Several VMs may
 		// be too many together, though each could go down alone.
-		if vm, exists := vms[name]; answered && (!exists || m.options.Cell.TakeDown(vm.Runner)) {
+		if vm, exists := vms[name]; answered && (!exists || m.options.Cell.AllowTakeDown(vm.Runner)) {
 			answered = m.startMaintenance(ctx, w, name)
 		}
 		if !w.order(name).done {
--- a/internal/flow/upkeep/upkeep_test.go
+++ b/internal/flow/upkeep/upkeep_test.go
@@ -205,8 +205,8 @@
 	return p.tasks[name], p.pinned[name], true
 }
 
-// TakeDown implements Cell.
-func (p *fakePlatform) TakeDown(name string) bool {
+// AllowTakeDown implements Cell.
+func (p *fakePlatform) AllowTakeDown(name string) bool {
 	_, pinned, known := p.RunCounts(name)
 	return known && pinned == 0
 }
