Check outside of the agent's loop in TestCrashWithStartUnderWay

One that failed would have ended the goroutine of the loop, and the test would have hung in place of failing. Change: values are taken on the loop and checked in the test; the same checks.

--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -147,6 +147,7 @@
 		a.calls.Wait()
 		a.guards.Wait()
 	})
+	// Checks stay out of f: one that fails would end the goroutine of the loop.
 	onLoop := func(f func()) {
 		is.NoErr(a.loop.Do(f))
 		a.calls.Wait()
@@ -170,24 +171,29 @@
 
 	// The new token is above that of the start, which this incarnation refuses from now on. The next one
 	// does not know the token.
+	var before, after int
 	onLoop(func() {
 		a.state.token = 8
 		a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
-		is.Equal(len(a.state.unanswered), 1)
+		before = len(a.state.unanswered)
 		now += driver.MaxOrderDelay + 1
 		a.handlePoll(reborn, driver.HoldRequest{Token: 8}, driver.HoldReport{Runner: reborn}, nil, 0)
-		is.Equal(len(a.state.unanswered), 0)
+		after = len(a.state.unanswered)
 	})
+	is.Equal(before, 1)
+	is.Equal(after, 0)
 
 	// An acknowledgement is not sent again once the runner has answered it.
 	onLoop(func() {
 		a.state.acknowledgedEnd = 1
 		order, _, _ = a.nextPoll()
-		is.Equal(order.Acknowledged, uint64(1))
+	})
+	is.Equal(order.Acknowledged, uint64(1))
+	onLoop(func() {
 		a.handlePoll(reborn, order, driver.HoldReport{Runner: reborn}, nil, 0)
 		order, _, _ = a.nextPoll()
-		is.Equal(order.Acknowledged, uint64(0))
 	})
+	is.Equal(order.Acknowledged, uint64(0))
 }
 
 // namedRunner is a runner that answers to its id alone.
