Read-through: count silence apart from writing; say what the slack of clocks is

Cause: Link.write sent frames and judged silence in one loop, and clockRounding named a part of what it covers. Change: silenceCounter holds the ticks without a byte; clockSlack. No decision changes. Result: tests of link and agent pass with -race.

--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -18,8 +18,9 @@
 const (
 	// maxClockDrift is how much slower than the agent's clock a runner's clock may run, as a fraction.
 	maxClockDrift = 0.02
-	// clockRounding covers the rounding of readings of the runner's clock, which are in milliseconds.
-	clockRounding = 20 * time.Millisecond
+	// clockSlack is how far, besides the drift, a reading of the runner's clock may lie before the time that
+	// the readings so far lead to. Readings are whole milliseconds.
+	clockSlack = 20 * time.Millisecond
 	// leaseStopTime is how long before the end of the granted lease the agent begins to stop the runs
 	// on a runner whose own lease may be longer. It covers guardInterval, the calls and the time that a
 	// stop takes.
@@ -53,7 +54,7 @@
 		return false
 	}
 	drift := time.Duration(float64(sentAt-a.state.clockReadAt) * maxClockDrift)
-	return time.Duration(reading) < sentAt+a.state.clockOffset-max(0, drift)-clockRounding
+	return time.Duration(reading) < sentAt+a.state.clockOffset-max(0, drift)-clockSlack
 }
 
 // withdrawStart stops a run that the present incarnation of the runner may have taken, or may yet take,
--- a/internal/flow/link/link.go
+++ b/internal/flow/link/link.go
@@ -120,7 +120,7 @@
 	defer l.Close()
 	tick := time.NewTimer(untilTick())
 	defer tick.Stop()
-	sent, received, silentTicks := false, l.session.Received(), 0
+	sent, silence := false, silenceCounter{received: l.session.Received()}
 	for {
 		select {
 		case f := <-l.outbox:
@@ -130,14 +130,14 @@
 			sent, answered = true, true
 		case <-tick.C:
 			tick.Reset(untilTick())
-			before := received
-			if received = l.session.Received(); received != before || !answered {
-				silentTicks = 0
-			} else if silentTicks++; silentTicks >= maxSilentTicks {
+			if !answered {
+				continue
+			}
+			if silence.count(l.session.Received()) >= maxSilentTicks {
 				l.silent.Store(true)
 				return
 			}
-			if answered && !sent && l.send([]proto.Message{&flowpb.Frame{}}) != nil {
+			if !sent && l.send([]proto.Message{&flowpb.Frame{}}) != nil {
 				return
 			}
 			sent = false
@@ -149,6 +149,23 @@
 	}
 }
 
+// silenceCounter counts the ticks in a row in which nothing was received.
+type silenceCounter struct {
+	// received is how many bytes had been received at the last tick.
+	received int64
+	ticks    int
+}
+
+// count returns how many ticks have passed without a byte, given how many bytes were received so far.
+func (c *silenceCounter) count(received int64) (ticks int) {
+	c.ticks++
+	if received != c.received {
+		c.received, c.ticks = received, 0
+	}
+	return c.ticks
+}
+
+// send sends frames at once.
 func (l *Link) send(frames []proto.Message) error {
 	l.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return l.stream.SendMessage(frames...)
