Close a listener as soon as its queue is empty

Change: it looks before each Accept, and closes the listener in the same turn in which it has accepted the last connection.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -308,24 +308,27 @@
 
 // Accept implements net.Listener. The goroutine that accepts connections closes the listener as well:
 // while it waits, or has yet to notice that another one has closed it, the port stays open and
-// connections come in that are reset.
+// connections come in that are reset. It does not wait once the listener is to be closed, since clients
+// that come back at once would have filled the queue again whenever it gets processor time.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		if l.closing.Load() {
+			if !acceptable(l.Listener) {
+				_ = l.Listener.Close()
+				return nil, net.ErrClosed
+			}
+			l.setDeadline(time.Now().Add(acceptTimeout))
+		}
 		accepted, err := l.Listener.Accept()
-		if err == nil {
+		switch {
+		case err == nil:
 			now := time.Now()
 			c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
 			l.server.add(c)
 			return c, nil
-		}
-		if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		case !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		}
-		if !acceptable(l.Listener) {
-			_ = l.Listener.Close()
-			return nil, net.ErrClosed
-		}
-		l.setDeadline(time.Now().Add(acceptTimeout))
 	}
 }
 
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -13,10 +13,12 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
@@ -324,3 +326,65 @@
 	}
 	return fmt.Sprintf("%d %s\n", response.StatusCode, body)
 }
+
+// returningListener connects another client each time the server waits for a connection, as clients do
+// that come back at once while the process gets no processor time.
+type returningListener struct {
+	*net.TCPListener
+	connect func()
+}
+
+func (l returningListener) Accept() (net.Conn, error) {
+	if !acceptable(l.TCPListener) {
+		l.connect()
+	}
+	return l.AcceptTCP()
+}
+
+// TestStopBesideReturningClients guards against a listener that waits for more connections than those in
+// its queue once it is to be closed, since the queue of a process that is short of processor time is full
+// again each time it has waited.
+func TestStopBesideReturningClients(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	stopping := make(chan struct{})
+	server := New(Options{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+		Refuse:  func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) },
+		Log:     slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
+	})
+	var clients sync.WaitGroup
+	var cut atomic.Int64
+	connect := func() {
+		select {
+		case <-stopping:
+		default:
+			return
+		}
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		clients.Go(func() {
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: hub\r\n\r\n")
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+				cut.Add(1)
+			}
+		})
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(returningListener{l.(*net.TCPListener), connect}) }()
+	time.Sleep(settlePause)
+	close(stopping)
+	connect()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	is.NoErr(server.Stop(ctx, handlerTimeout))
+	is.NoErr(ctx.Err()) // the listener is closed once its queue is empty
+	is.NoErr(<-served)
+	clients.Wait()
+	is.Equal(cut.Load(), int64(0))
+}
