Refuse what a stopping server has no time for before it is read

Change: once a listener is to be closed, eight more connections are served.

The script stop/crowd shows it: of 40 requests that wait, 8 reach the handler and 32 are refused at once; before, all 40 waited in their handlers until the end of the time for stopping.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -224,6 +224,18 @@
 	return n > 0
 }
 
+// refuseFirst waits for the first bytes of a request and closes the connection with a refusal, without
+// the cost of reading the request.
+func (c *conn) refuseFirst() {
+	var first [1]byte
+	if n, err := c.Conn.Read(first[:]); n == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		c.peerClosed = true
+		c.mu.Unlock()
+	}
+	_ = c.Close()
+}
+
 func (c *conn) setState(s connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -27,6 +27,9 @@
 	// firstRequestTimeout is how long a stopping server waits for the first request of a connection. A
 	// client opens one to send a request at once.
 	firstRequestTimeout = 250 * time.Millisecond
+	// maxLastAccepts is how many connections a server still serves that come once it is to close its
+	// listener. More of them wait only if it is short of processor time, which the requests before them need.
+	maxLastAccepts = 8
 )
 
 // ErrStopped is the cause with which the contexts of requests end that a stopping server no longer
@@ -191,8 +194,13 @@
 	s.endRequests(ErrStopped)
 	s.mu.Lock()
 	s.aborting = true
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	_ = s.http.Close()
+	// The HTTP server does not know connections whose first request is refused.
+	for _, c := range conns {
+		_ = c.Close()
+	}
 	return err
 }
 
@@ -304,6 +312,8 @@
 	server *Server
 	// closing is set once the listener is to be closed when no connection waits to be accepted.
 	closing atomic.Bool
+	// lastAccepts counts the connections that were accepted after that. It belongs to Accept.
+	lastAccepts int
 }
 
 // Accept implements net.Listener. The goroutine that accepts connections closes the listener as well:
@@ -325,7 +335,14 @@
 			now := time.Now()
 			c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
 			l.server.add(c)
-			return c, nil
+			if l.closing.Load() {
+				l.lastAccepts++
+			}
+			if l.lastAccepts <= maxLastAccepts {
+				return c, nil
+			}
+			// The goroutine is one of the connection, which Stop waits for.
+			go c.refuseFirst()
 		case !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		}
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -227,6 +229,10 @@
 			return "refused\n"
 		}
 		w.clients[name] = &client{Conn: conn, reader: bufio.NewReader(conn)}
+	case "crowd":
+		return w.crowd(t, d)
+	case "answers":
+		return w.countAnswers()
 	case "send":
 		return w.send(w.clients[name], path, part)
 	case "answer":
@@ -273,6 +279,40 @@
 	return ""
 }
 
+// crowd connects a number of clients, each with a request.
+func (w *world) crowd(t *testing.T, d *datadriven.TestData) string {
+	var count int
+	d.ScanArgs(t, "count", &count)
+	for i := range count {
+		conn, err := net.Dial("tcp", w.address)
+		if err != nil {
+			return "refused\n"
+		}
+		c := &client{Conn: conn, reader: bufio.NewReader(conn)}
+		w.clients[fmt.Sprintf("crowd-%d", i)] = c
+		if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: hub\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
+			return "not sent\n"
+		}
+	}
+	time.Sleep(settlePause)
+	return ""
+}
+
+// countAnswers reads the answers to the requests of a crowd.
+func (w *world) countAnswers() string {
+	counts := map[string]int{}
+	for name, c := range w.clients {
+		if strings.HasPrefix(name, "crowd-") {
+			counts[c.answer()]++
+		}
+	}
+	var text strings.Builder
+	for _, answer := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(&text, "%d: %s", counts[answer], answer)
+	}
+	return text.String()
+}
+
 func (w *world) gate(t *testing.T, d *datadriven.TestData) *gate {
 	what := ""
 	d.ScanArgs(t, "what", &what)
--- a/internal/telemetry/connections.go
+++ b/internal/telemetry/connections.go
@@ -10,7 +10,7 @@
 // NewConnections returns Connections that are registered in the registry of m.
 func NewConnections(m *Metrics) *Connections {
 	c := &Connections{
-		closed: counter("http_connections_closed_total", "Closed connections from clients, by the state of their request and by who closed them first. A request got no answer if the server closed its connection as unread, reading or serving; one that crossed the close of an idle connection was refused.", "state", "by"),
+		closed: counter("http_connections_closed_total", "Closed connections from clients, by the state of their request and by who closed them first. A request got no answer if the server closed its connection as unread, reading or serving; one that crossed the close of its connection was refused unread.", "state", "by"),
 	}
 	m.registry.MustRegister(c.closed)
 	return c
