Refuse what waits to be accepted when the time for stopping is over

A refusal costs little, and the listener is closed in the turn in which its queue is empty, so that it does not last.

The script stop/late-accept failed before with '40: no answer', now '40: 503 , the last one'. The other scripts pass as they were, also with -race.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -176,13 +176,14 @@
 }
 
 // Stop closes each connection without a request and the listeners, and returns once all requests are
-// answered. When ctx ends before, it ends the contexts of those that are still served, which gives
-// their handlers answerTimeout to answer them. It returns an error if some are not answered even then.
+// answered. When ctx ends before, it refuses what still waits to be accepted, and ends the contexts of
+// the requests that are still served, which gives their handlers answerTimeout to answer them. It returns
+// an error if some are not answered even then.
 func (s *Server) Stop(ctx context.Context, answerTimeout time.Duration) (err error) {
 	defer errs.Annotate(&err, "http1: stop")
 	s.Announce()
 	s.closeWaiting()
-	s.closeListeners(ctx)
+	listeners := s.closeEmptyListeners()
 	if !s.waitClosed(ctx) {
 		s.endRequests(ErrStopped)
 		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
@@ -192,6 +193,9 @@
 		}
 	}
 	s.endRequests(ErrStopped)
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 	s.mu.Lock()
 	s.aborting = true
 	conns := slices.Collect(maps.Keys(s.conns))
@@ -227,19 +231,16 @@
 	return s.aborting
 }
 
-// closeListeners closes each listener once no connection waits to be accepted, since those that wait
-// are reset with the requests that they carry. When ctx ends before, it closes them all the same.
-func (s *Server) closeListeners(ctx context.Context) {
+// closeEmptyListeners has each listener closed once no connection waits to be accepted, since those that
+// wait are reset with the requests that they carry.
+func (s *Server) closeEmptyListeners() []*listener {
 	s.mu.Lock()
 	listeners := slices.Collect(maps.Keys(s.listeners))
 	s.mu.Unlock()
 	for _, l := range listeners {
 		l.closeEmpty()
 	}
-	s.wait(ctx, func() bool { return len(s.listeners) == 0 })
-	for _, l := range listeners {
-		_ = l.Close()
-	}
+	return listeners
 }
 
 // closeWaiting closes all connections, present and future, while they wait for a request.
@@ -338,7 +339,7 @@
 			if l.closing.Load() {
 				l.lastAccepts++
 			}
-			if l.lastAccepts <= maxLastAccepts {
+			if l.lastAccepts <= maxLastAccepts && l.server.requests.Err() == nil {
 				return c, nil
 			}
 			// The goroutine is one of the connection, which Stop waits for.
