--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -27,6 +27,9 @@
 	// firstRequestTimeout is how long a stopping server waits for the first request of a connection. A
 	// client opens one to send a request at once.
 	firstRequestTimeout = 250 * time.Millisecond
+	// maxLastAccepts is how many connections a server still serves that come once it is to close its
+	// listener. More of them wait only if it is short of processor time, which the requests before them need.
+	maxLastAccepts = 8
 )
 
 // ErrStopped is the cause with which the contexts of requests end that a stopping server no longer
@@ -173,13 +176,14 @@
 }
 
 // Stop closes each connection without a request and the listeners, and returns once all requests are
-// answered. When ctx ends before, it ends the contexts of those that are still served, which gives
-// their handlers answerTimeout to answer them. It returns an error if some are not answered even then.
+// answered. When ctx ends before, it refuses what still waits to be accepted, and ends the contexts of
+// the requests that are still served, which gives their handlers answerTimeout to answer them. It returns
+// an error if some are not answered even then.
 func (s *Server) Stop(ctx context.Context, answerTimeout time.Duration) (err error) {
 	defer errs.Annotate(&err, "http1: stop")
 	s.Announce()
 	s.closeWaiting()
-	s.closeListeners(ctx)
+	listeners := s.closeEmptyListeners()
 	if !s.waitClosed(ctx) {
 		s.endRequests(ErrStopped)
 		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
@@ -189,10 +193,18 @@
 		}
 	}
 	s.endRequests(ErrStopped)
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 	s.mu.Lock()
 	s.aborting = true
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	_ = s.http.Close()
+	// The HTTP server does not know connections whose first request is refused.
+	for _, c := range conns {
+		_ = c.Close()
+	}
 	return err
 }
 
@@ -219,19 +231,16 @@
 	return s.aborting
 }
 
-// closeListeners closes each listener once no connection waits to be accepted, since those that wait
-// are reset with the requests that they carry. When ctx ends before, it closes them all the same.
-func (s *Server) closeListeners(ctx context.Context) {
+// closeEmptyListeners has each listener closed once no connection waits to be accepted, since those that
+// wait are reset with the requests that they carry.
+func (s *Server) closeEmptyListeners() []*listener {
 	s.mu.Lock()
 	listeners := slices.Collect(maps.Keys(s.listeners))
 	s.mu.Unlock()
 	for _, l := range listeners {
 		l.closeEmpty()
 	}
-	s.wait(ctx, func() bool { return len(s.listeners) == 0 })
-	for _, l := range listeners {
-		_ = l.Close()
-	}
+	return listeners
 }
 
 // closeWaiting closes all connections, present and future, while they wait for a request.
@@ -304,28 +313,40 @@
 	server *Server
 	// closing is set once the listener is to be closed when no connection waits to be accepted.
 	closing atomic.Bool
+	// lastAccepts counts the connections that were accepted after that. It belongs to Accept.
+	lastAccepts int
 }
 
 // Accept implements net.Listener. The goroutine that accepts connections closes the listener as well:
 // while it waits, or has yet to notice that another one has closed it, the port stays open and
-// connections come in that are reset.
+// connections come in that are reset. It does not wait once the listener is to be closed, since clients
+// that come back at once would have filled the queue again whenever it gets processor time.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		if l.closing.Load() {
+			if !acceptable(l.Listener) {
+				_ = l.Listener.Close()
+				return nil, net.ErrClosed
+			}
+			l.setDeadline(time.Now().Add(acceptTimeout))
+		}
 		accepted, err := l.Listener.Accept()
-		if err == nil {
+		switch {
+		case err == nil:
 			now := time.Now()
 			c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
 			l.server.add(c)
-			return c, nil
-		}
-		if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			if l.closing.Load() {
+				l.lastAccepts++
+			}
+			if l.lastAccepts <= maxLastAccepts && l.server.requests.Err() == nil {
+				return c, nil
+			}
+			// The goroutine is one of the connection, which Stop waits for.
+			go c.refuseFirst()
+		case !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		}
-		if !acceptable(l.Listener) {
-			_ = l.Listener.Close()
-			return nil, net.ErrClosed
-		}
-		l.setDeadline(time.Now().Add(acceptTimeout))
 	}
 }
 
