--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -36,6 +36,8 @@
 	FailAll bool `json:"fail-all"`
 	// RefuseAll rejects the start of every task with 409.
 	RefuseAll bool `json:"refuse-all"`
+	// Hold keeps running tasks from making progress.
+	Hold bool `json:"hold"`
 }
 
 // EventKind tells what happened to a task attempt.
@@ -112,6 +114,7 @@
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.advance(time.Now())
 	s.faults = f
 }
 
@@ -175,7 +178,9 @@
 			until = lease
 		}
 		if until.After(t.updatedAt) {
-			t.progress += time.Duration(float64(until.Sub(t.updatedAt)) * t.cpuShare)
+			if !s.faults.Hold {
+				t.progress += time.Duration(float64(until.Sub(t.updatedAt)) * t.cpuShare)
+			}
 			t.updatedAt = until
 		}
 		switch {
