Read the owner record anew while its owner can't be reached

Seen: connections to the store went silent, then the owner's process ended. Jobs that came in were accepted and stayed queued until the agents' watches of the owner record ran out, up to 4.7 s after the silence, though the next owner had the cell 1.2 s to 3 s after it.

Cause: an agent without a link tries the address that it knows, and hears of another one by its watch alone.

An agent now reports to its follower that the owner can't be reached; after 1 s to 1.5 s, and then every 2 s, the follower ends the watch and reads the record on a new connection. A takeover that is over within a second costs no read. Beyond it each agent makes one list and one new watch per 2 s, where it made one watch per 4 s: 300 agents within half a second, spread, then 300 calls a second for as long as there is no owner. That was worked out, not measured.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -170,6 +170,7 @@
 func (a *Agent) session(ctx context.Context) {
 	record, _, changed := a.options.Follower.Record()
 	if record == nil || record.GetReleased() {
+		a.options.Follower.Doubt(record)
 		waitChange(ctx, changed, retryPause)
 		return
 	}
@@ -179,6 +180,7 @@
 			l.Close()
 			a.options.Follower.Learn(welcome.GetOwner())
 		}
+		a.options.Follower.Doubt(record)
 		waitChange(ctx, changed, retryPause)
 		return
 	}
--- a/internal/flow/locate/locate.go
+++ b/internal/flow/locate/locate.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,12 @@
 	// connections may fail without being closed.
 	watchSlack = 700 * time.Millisecond
 	retryPause = 150 * time.Millisecond
+	// doubtDelay is how long the owner must be unreachable before its record is read although a watch waits
+	// for changes, and doubtInterval how often it is read then. Most takeovers are over sooner. doubtSpread
+	// spreads the reads of a cell's agents, which lose the owner together.
+	doubtDelay    = time.Second
+	doubtSpread   = 500 * time.Millisecond
+	doubtInterval = 2 * time.Second
 )
 
 // Options configures a Follower.
@@ -46,6 +53,12 @@
 	storeAnsweredAt time.Duration
 	changed         chan struct{}
 	revision        uint64
+	// endWatch ends the watch in progress. It is nil if there is none.
+	endWatch context.CancelCauseFunc
+	// doubted is the record whose owner couldn't be reached at lastDoubt, and readAgainAt when it is read
+	// for that reason.
+	doubted                *flowpb.Owner
+	lastDoubt, readAgainAt time.Duration
 }
 
 // New returns a Follower. Run must be called next.
@@ -123,11 +136,24 @@
 	return revision, nil
 }
 
+// errDoubted ends a watch of a record whose owner can't be reached.
+var errDoubted = errors.New("locate: the owner can't be reached")
+
+func (f *Follower) setEndWatch(end context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endWatch = end
+}
+
 func (f *Follower) watch(ctx context.Context, key string, after uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.WatchWait+watchSlack)
 	defer cancel()
+	ctx, endWatch := context.WithCancelCause(ctx)
+	defer endWatch(nil)
+	f.setEndWatch(endWatch)
+	defer f.setEndWatch(nil)
 	changes, revision, err := f.options.Store.Changes(ctx, key, after, f.options.WatchWait)
-	if errors.Is(err, driver.ErrCompacted) {
+	if errors.Is(err, driver.ErrCompacted) || err != nil && errors.Is(context.Cause(ctx), errDoubted) {
 		return 0, nil
 	}
 	if err != nil {
@@ -142,6 +168,22 @@
 	return revision, nil
 }
 
+// Doubt tells that the owner which a record names can't be reached, or that it names none. The watch may
+// have gone silent: if the record is doubted for doubtDelay, it is read again, on a new connection.
+func (f *Follower) Doubt(record *flowpb.Owner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock()
+	if record != f.doubted || now-f.lastDoubt > doubtDelay {
+		f.doubted, f.readAgainAt = record, now+doubtDelay+rand.N(doubtSpread)
+	}
+	f.lastDoubt = now
+	if record == f.record && now >= f.readAgainAt && f.endWatch != nil {
+		f.readAgainAt = now + doubtInterval
+		f.endWatch(errDoubted)
+	}
+}
+
 // Learn applies an owner record that another process knows of, unless it is older than the one known
 // here. It finds the owner for a process that does not reach the store.
 func (f *Follower) Learn(record *flowpb.Owner) {
--- a/internal/flow/locate/locate_test.go
+++ b/internal/flow/locate/locate_test.go
@@ -117,3 +117,59 @@
 		})
 	}
 }
+
+// silentWatchStore answers listings alone: its watches have gone silent.
+type silentWatchStore struct {
+	recordStore
+	lists int
+}
+
+func (s *silentWatchStore) List(ctx context.Context, key string) ([]driver.Item, uint64, error) {
+	s.lists++
+	return s.recordStore.List(ctx, key)
+}
+
+func (*silentWatchStore) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]driver.Change, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, driver.ErrUnavailable
+}
+
+// TestSilentWatchHidesOwner guards against an agent without an owner that waits for a watch of the owner
+// record which has gone silent. Takeovers that are over within a second cost no reads of the record.
+func TestSilentWatchHidesOwner(t *testing.T) {
+	const watchWait, connectPause = 4 * time.Second, 120 * time.Millisecond
+	record := func(epoch uint64, node string) []byte {
+		raw, err := proto.Marshal(&flowpb.Owner{Epoch: epoch, Node: node, Address: "10.0.0.1:80"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &silentWatchStore{recordStore: recordStore{value: record(1, "e-1"), revision: 3}}
+		began := time.Now()
+		f := New(Options{Cell: "c", Store: store, Clock: func() time.Duration { return time.Since(began) }, WatchWait: watchWait, Log: slog.New(slog.DiscardHandler)})
+		ctx, stop := context.WithCancel(context.Background())
+		done := loop.Go(ctx, f.Run)
+		defer func() { stop(); <-done }()
+		synctest.Wait()
+		is.Equal(store.lists, 1)
+		// doubtFor reports the owner as unreachable as often as an agent tries to connect.
+		doubtFor := func(d time.Duration) {
+			for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(connectPause) {
+				r, _, _ := f.Record()
+				f.Doubt(r)
+			}
+		}
+		doubtFor(900 * time.Millisecond)
+		is.Equal(store.lists, 1) // read before a takeover is over
+		store.value, store.revision = record(2, "e-2"), 4
+		doubtFor(700 * time.Millisecond)
+		r, _, _ := f.Record()
+		is.Equal(r.GetNode(), "e-2") // still waiting for the watch
+		is.Equal(store.lists, 2)
+		doubtFor(2200 * time.Millisecond)
+		is.Equal(store.lists, 3) // read more often than every 2 s
+	})
+}
