Refuse reads and cancels that can't be looked up soon

Seen: while the store took 0.3 s a read, or was silent, reads and cancels of jobs that the owner doesn't know waited behind four others until their own deadline, and only then got a 503.

Cause: a look-up held its place for as long as its client waited, and the others waited for a place without bound; reads of the store had no time-out of their own, so that a silent connection cost the whole deadline.

A call now waits 0.25 s for its turn and is refused then, with Retry-After and without effect; each read of the store for a client ends after 0.7 s. Calls of known jobs, submits and counts never waited there.

Before: TestForgottenJobsHoldUpCalls/slow and /silent failed ("waited behind others", "waited for the store until its deadline").

--- a/internal/flow/entry/call.go
+++ b/internal/flow/entry/call.go
@@ -28,6 +28,9 @@
 	// maxLookups bounds how many jobs that the owner doesn't know are looked up at a time. The store
 	// answers a few thousand reads a second, which it shares among all entries.
 	maxLookups = 4
+	// maxLookupWait is how long a call waits for its turn to look a job up. A store that is well answers
+	// hundreds meanwhile; beside one that is slow or silent the call would wait for its deadline.
+	maxLookupWait = 250 * time.Millisecond
 	// inboxDelay is how long a call waits for an owner before it is served from the store.
 	inboxDelay = 120 * time.Millisecond
 )
@@ -111,11 +114,16 @@
 }
 
 // lookUp serves a read or a cancel of a job that the owner doesn't know. Another entry may have accepted it
-// into the inbox, of which the owner hears later, so that only the store knows that there is none.
+// into the inbox, of which the owner hears later, so that only the store knows that there is none. It returns
+// errNotSent if its turn does not come within maxLookupWait.
 func (n *Node) lookUp(ctx context.Context, call *flowpb.Call) (*flowpb.Reply, error) {
+	timer := time.NewTimer(maxLookupWait)
+	defer timer.Stop()
 	select {
 	case n.lookups <- struct{}{}:
 		defer func() { <-n.lookups }()
+	case <-timer.C:
+		return nil, errNotSent
 	case <-ctx.Done():
 		return nil, errNotSent
 	}
--- a/internal/flow/entry/call_test.go
+++ b/internal/flow/entry/call_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,3 +54,54 @@
 	is.NoErr(err)
 	is.Equal(r.GetStatus(), flowpb.Status_STATUS_INVALID)
 }
+
+// TestForgottenJobsHoldUpCalls guards against calls that wait until their deadline behind others for jobs
+// that the owner doesn't know, while the store is slow or silent: what can't be looked up soon is refused,
+// and a later call is served.
+func TestForgottenJobsHoldUpCalls(t *testing.T) {
+	const (
+		calls       = 40
+		maxWait     = 400 * time.Millisecond
+		maxSilence  = time.Second
+		longSilence = time.Minute
+	)
+	for name, f := range map[string]fault{"slow": {delay: 300 * time.Millisecond}, "silent": {silent: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newFakeStore()
+				n, _ := newTestNode(store)
+				store.setFault(func(string, string) fault { return f })
+				ctx, cancel := context.WithTimeout(t.Context(), longSilence)
+				defer cancel()
+				lookUp := func() (served bool, took time.Duration) {
+					began := time.Now()
+					r, err := n.lookUp(ctx, &flowpb.Call{Read: "0000000000000001"})
+					return err == nil && r.GetStatus() == flowpb.Status_STATUS_NOT_FOUND, time.Since(began)
+				}
+				var all sync.WaitGroup
+				var refused, served atomic.Int64
+				var longestRefusal atomic.Int64
+				for range calls {
+					all.Go(func() {
+						if ok, took := lookUp(); ok {
+							served.Add(1)
+						} else if took <= maxWait {
+							refused.Add(1)
+						} else {
+							longestRefusal.Store(int64(took))
+						}
+					})
+				}
+				all.Wait()
+				is.True(time.Duration(longestRefusal.Load()) <= maxSilence) // waited for the store until its deadline
+				is.True(refused.Load() >= calls-2*maxLookups)               // waited behind others
+				is.Equal(served.Load() > 0, !f.silent)
+				store.setFault(nil)
+				ok, took := lookUp()
+				is.True(ok)
+				is.True(took < maxWait)
+			})
+		})
+	}
+}
--- a/internal/flow/owner/inbox.go
+++ b/internal/flow/owner/inbox.go
@@ -21,6 +21,9 @@
 	inboxWatchWait  = 1500 * time.Millisecond
 	inboxWatchSlack = 500 * time.Millisecond
 	inboxRetryPause = 200 * time.Millisecond
+	// readTimeout bounds a read for a client, whose connection may have failed silently. A slow store
+	// answers in 0.4 s.
+	readTimeout = 700 * time.Millisecond
 	// cancelPrefix precedes the job's id in the name of a cancel in the inbox.
 	cancelPrefix = "cancel-"
 )
@@ -135,7 +138,7 @@
 	p = &flowpb.Progress{}
 	item, err := readState(ctx, store, cell, id)
 	if errors.Is(err, driver.ErrNotFound) {
-		if _, err = store.Get(ctx, cell+prefixInbox+id); !errors.Is(err, driver.ErrNotFound) {
+		if _, err = get(ctx, store, cell+prefixInbox+id); !errors.Is(err, driver.ErrNotFound) {
 			return p, err
 		}
 		// The owner may have moved the job out of the inbox between the two reads.
@@ -150,9 +153,16 @@
 // readState reads the item with the state of a job. The progress that earlier versions stored
 // includes the state.
 func readState(ctx context.Context, store driver.TxnStore, cell, id string) (driver.Item, error) {
-	item, err := store.Get(ctx, cell+prefixState+id)
+	item, err := get(ctx, store, cell+prefixState+id)
 	if errors.Is(err, driver.ErrNotFound) {
-		return store.Get(ctx, cell+prefixSeparateProgress+id)
+		return get(ctx, store, cell+prefixSeparateProgress+id)
 	}
 	return item, err
 }
+
+// get reads an item within readTimeout.
+func get(ctx context.Context, store driver.TxnStore, key string) (driver.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return store.Get(ctx, key)
+}
