Ask for tickets while another call to the admission service is silent

Seen: one call to the admission service without an answer, as on a connection that has gone silent, held up the tickets of all other jobs until its time-out of 3 s.

Cause: the owner sent the next calls only once all of the batch before were answered.

Calls for other steps now wait for a batch for one second at most; a step has one call in flight, and there are 16 at most, as before. The service still gets the most urgent ones first.

--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -34,6 +34,9 @@
 	// when 32 are waiting. approvalRequestTimeout bounds one call.
 	maxApprovalRequests    = 16
 	approvalRequestTimeout = 3 * time.Second
+	// approvalBatchTimeout is how long calls for other steps wait for those in flight, so that the most
+	// urgent ones go first. A connection to the service may have gone silent.
+	approvalBatchTimeout = time.Second
 	// learnedCommitInterval is how often the learned estimates are stored for the next owner.
 	learnedCommitInterval = 2 * time.Second
 )
@@ -89,9 +92,11 @@
 	committing        bool
 	lastCommit        time.Duration
 	lastLearnedCommit time.Duration
-	// approvalRequestsInFlight counts the unanswered calls to the admission service.
-	approvalRequestsInFlight int
-	stopped                  bool
+	// approvalSteps holds the steps of the unanswered calls to the admission service, the last of which were
+	// sent at approvalsSentAt.
+	approvalSteps   map[string]bool
+	approvalsSentAt time.Duration
+	stopped         bool
 }
 
 // New loads a cell that has been acquired. Run must be called next.
@@ -99,7 +104,7 @@
 	o = &Owner{
 		options: opts, fenced: opts.FencedStore, loop: loop.New(), commits: make(chan commitRequest, 1),
 		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, MaxLease: opts.MaxLease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
-		state:  loopState{links: map[string]*link.Link{}, pendingCalls: map[uint64]func(*flowpb.Reply){}},
+		state:  loopState{links: map[string]*link.Link{}, pendingCalls: map[uint64]func(*flowpb.Reply){}, approvalSteps: map[string]bool{}},
 	}
 	o.storeCtx, o.abandon = context.WithCancel(context.WithoutCancel(ctx))
 	began := opts.Clock()
@@ -321,21 +326,29 @@
 
 // requestApprovals calls the admission service, which serves one call of this process at a time.
 func (o *Owner) requestApprovals() {
-	if o.options.Adviser == nil || o.state.approvalRequestsInFlight > 0 {
+	inFlight := o.state.approvalSteps
+	if o.options.Adviser == nil || len(inFlight) >= maxApprovalRequests {
+		return
+	}
+	if len(inFlight) > 0 && o.options.Clock()-o.state.approvalsSentAt < approvalBatchTimeout {
 		return
 	}
 	for _, q := range o.engine.ApprovalRequests(o.now()) {
-		if o.state.approvalRequestsInFlight >= maxApprovalRequests {
+		if len(inFlight) >= maxApprovalRequests {
 			return
 		}
-		o.state.approvalRequestsInFlight++
+		if inFlight[q.Step] {
+			continue
+		}
+		inFlight[q.Step] = true
 		requestedAt := o.now()
+		o.state.approvalsSentAt = requestedAt.Monotonic
 		o.approvalRequests.Go(func() {
 			ctx, cancel := context.WithTimeout(o.storeCtx, approvalRequestTimeout)
 			approvals, valid, err := o.options.Adviser.Advise(ctx, q.Step, q.Runners)
 			cancel()
 			o.loop.Post(func() {
-				o.state.approvalRequestsInFlight--
+				delete(inFlight, q.Step)
 				if err != nil {
 					o.options.Log.Warn("call to the admission service failed", "step", q.Step, "error", err.Error())
 				} else {
