--- a/internal/flow/owner/store.go
+++ b/internal/flow/owner/store.go
@@ -158,7 +158,7 @@
 // process knows of, or nil.
 func Acquire(ctx context.Context, store driver.TxnStore, clock steady.Clock, cell string, identity Identity, observed uint64, before *flowpb.Owner) (f *FencedStore, err error) {
 	defer errs.Annotate(&err, "owner: acquire cell %s", cell)
-	item, err := store.Get(ctx, HeadKey(cell))
+	item, err := get(ctx, store, HeadKey(cell))
 	if err != nil && !errors.Is(err, driver.ErrNotFound) {
 		return nil, err
 	}
