Poll a runner without a wait after a poll that got no answer

Seen in a test: with connections to the runner that last for less than the 0.5 s of a poll, the runner answered and was never heard: one report in 4 s, until the lease had ended.

Cause: each poll waits for an end of a run, and a connection that goes silent meanwhile takes the answer with it.

After a poll without an answer the next one doesn't wait: 6 reports, at most 0.69 s apart.

Before: TestPollsThatWaitGetNoAnswer failed (4.02 s between reports).

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -135,8 +135,9 @@
 	// doubtToken is the last token under which a start was in doubt, since doubtSince.
 	doubtToken uint64
 	doubtSince time.Duration
-	// endPoll ends the poll in progress, if there is one.
-	endPoll context.CancelFunc
+	// endPoll ends the poll in progress, if there is one. pollFailed is set if the last one got no answer.
+	endPoll    context.CancelFunc
+	pollFailed bool
 	// resyncDue is the token that a synchronisation replaces once minResyncInterval has passed, or 0.
 	resyncDue          uint64
 	connectionsRefused int
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -93,7 +93,7 @@
 		// up to this number.
 		order.Acknowledged = a.state.acknowledgedEnd
 	}
-	if !a.state.tokenConfirmed || order.LeaseEnd == 0 {
+	if !a.state.tokenConfirmed || order.LeaseEnd == 0 || a.state.pollFailed {
 		order.Wait = 0
 	}
 	return order, a.runnerID(), true
@@ -105,6 +105,8 @@
 	if order.Token != a.state.token {
 		return false
 	}
+	// A poll that waits may have been cut off, which one that doesn't is less likely to be.
+	a.state.pollFailed = err != nil
 	if err != nil {
 		a.handlePollError(id, err, took)
 		return false
