--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -135,6 +135,9 @@
 	// doubtToken is the last token under which a start was in doubt, since doubtSince.
 	doubtToken uint64
 	doubtSince time.Duration
+	// endPoll ends the poll in progress, if there is one. pollFailed is set if the last one got no answer.
+	endPoll    context.CancelFunc
+	pollFailed bool
 	// resyncDue is the token that a synchronisation replaces once minResyncInterval has passed, or 0.
 	resyncDue          uint64
 	connectionsRefused int
@@ -170,6 +173,7 @@
 func (a *Agent) session(ctx context.Context) {
 	record, _, changed := a.options.Follower.Record()
 	if record == nil || record.GetReleased() {
+		a.options.Follower.Doubt(record)
 		waitChange(ctx, changed, retryPause)
 		return
 	}
@@ -179,6 +183,7 @@
 			l.Close()
 			a.options.Follower.Learn(welcome.GetOwner())
 		}
+		a.options.Follower.Doubt(record)
 		waitChange(ctx, changed, retryPause)
 		return
 	}
@@ -378,6 +383,10 @@
 		a.state.revokedToken = max(a.state.revokedToken, a.state.token)
 		a.state.token, a.state.tokenConfirmed, a.state.results = o.GetToken(), false, nil
 		a.state.highestToken = max(a.state.highestToken, o.GetToken())
+		if a.state.endPoll != nil {
+			// The poll in progress, under the token before, may wait long for a run to end.
+			a.state.endPoll()
+		}
 	}
 	if o.GetGrantMillis() > 0 && o.GetReport() > 0 && a.state.sequence-o.GetReport() < reportHistory {
 		end := a.state.reportSentAt[o.GetReport()%reportHistory] + time.Duration(o.GetGrantMillis())*time.Millisecond
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -39,22 +39,28 @@
 		var order driver.HoldRequest
 		var id driver.RunnerID
 		ready := false
-		if a.loop.Do(func() { order, id, ready = a.nextPoll() }) != nil {
+		pollCtx, endPoll := context.WithCancel(ctx)
+		if a.loop.Do(func() { order, id, ready = a.nextPoll(); a.state.endPoll = endPoll }) != nil {
+			endPoll()
 			return
 		}
 		if !ready {
+			endPoll()
 			a.awaitWake(ctx, pollWait)
 			continue
 		}
 		began := a.options.Clock()
-		callCtx, cancel := context.WithTimeout(ctx, order.Wait+pollSlack)
+		callCtx, cancel := context.WithTimeout(pollCtx, order.Wait+pollSlack)
 		report, err := a.options.Runner.Hold(callCtx, id, order)
+		superseded := pollCtx.Err() != nil
 		cancel()
+		endPoll()
 		unacknowledged := false
 		if a.loop.Do(func() { unacknowledged = a.handlePoll(id, order, report, err, a.options.Clock()-began) }) != nil {
 			return
 		}
 		switch {
+		case superseded:
 		case err != nil:
 			loop.Pause(ctx, pollRetryPause)
 		case unacknowledged:
@@ -87,7 +93,7 @@
 		// up to this number.
 		order.Acknowledged = a.state.acknowledgedEnd
 	}
-	if !a.state.tokenConfirmed || order.LeaseEnd == 0 {
+	if !a.state.tokenConfirmed || order.LeaseEnd == 0 || a.state.pollFailed {
 		order.Wait = 0
 	}
 	return order, a.runnerID(), true
@@ -99,6 +105,8 @@
 	if order.Token != a.state.token {
 		return false
 	}
+	// A poll that waits may have been cut off, which one that doesn't is less likely to be.
+	a.state.pollFailed = err != nil
 	if err != nil {
 		a.handlePollError(id, err, took)
 		return false
