Agent: shut late starts out of a runner's next life at once

Cause: a runner's next life has seen no token, and takes an attempt that the life before left without an answer. The agent called it only with its next announcement, up to 1.1 s later, as it stops polling once the runner is gone, once it has asked for a new token, and while it is cut off from the owner.

Change: while an attempt without an answer may yet be carried out, the agent calls the runner every 20 ms, also when it is gone or there is no owner. It does so under its token, or under the one after the highest issued if it has none: that shuts out all attempts so far, and no orders to come, as owners issue higher ones and runners accept equal ones. Once a life is seen to be another, the starts are withdrawn under that token as well.

Failed before: TestOrders/late-beside-crash ("carries out the start of j late" in four of its five scripts) and TestSystem/late-beside-crash ("run 1 started 834 ms after the task's end was acknowledged", 3 of 3 runs). In TestOrders the runner now keeps a fence and may be down, so that another-life says of its late start that it is refused, and its stops come sooner and under the next token.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -117,9 +117,12 @@
 	// attempt. The runner refuses them once it has seen a higher token, but its next incarnation has seen
 	// none.
 	unanswered map[driver.RunID]time.Duration
-	// lastRunnerID is the id of the last runner that was announced. foreignLeaseEnd bounds, on this
-	// VM's steady clock, a lease that the runner has taken from a request to its incarnation before.
-	lastRunnerID    string
+	// watching is set while watchIncarnation runs.
+	watching bool
+	// lastRunner is the last incarnation of a runner that the agent knew of, which may be gone. foreignLeaseEnd
+	// bounds, on this VM's steady clock, a lease that the runner has taken from a request to its incarnation
+	// before.
+	lastRunner      *flowpb.Runner
 	foreignLeaseEnd time.Duration
 	// guardingLease is set while guardLease runs.
 	guardingLease bool
--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -72,7 +72,8 @@
 	t.Cleanup(func() { l.Close(); owner.Close(); l.Wait(); owner.Wait() })
 	metrics := telemetry.NewFlow(telemetry.NewMetrics())
 	a := New(Options{Clock: func() time.Duration { return *now }, MaxLease: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Metrics: metrics})
-	a.state.link, a.state.runner, a.state.token, a.state.lastRunnerID = l, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}, 7, "i-1"
+	a.state.link, a.state.runner, a.state.token = l, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}, 7
+	a.state.lastRunner = a.state.runner
 	return a, owner
 }
 
--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
@@ -26,6 +27,10 @@
 	// stop takes.
 	leaseStopTime = time.Second
 	guardInterval = 100 * time.Millisecond
+	// watchInterval is the pause between two calls of watchIncarnation, and watchTimeout bounds one. Until the
+	// next incarnation of a runner gets the first of them, it carries out any late start.
+	watchInterval = 20 * time.Millisecond
+	watchTimeout  = 40 * time.Millisecond
 )
 
 // errOtherIncarnation is the result of a start that another incarnation of the runner has answered.
@@ -37,14 +42,91 @@
 // accepts.
 func (a *Agent) beginIncarnation(id string) {
 	a.state.acknowledgedEnd, a.state.confirmedEnd, a.state.lastCountedEnd, a.state.clockReadAt = 0, 0, 0, 0
-	if id == a.state.lastRunnerID {
+	if id == a.state.lastRunner.GetId() {
 		a.state.foreignLeaseEnd = a.options.Clock() + a.options.MaxLease
 		for run := range a.state.unanswered {
-			a.withdrawStart(run)
+			a.withdrawStart(run, a.nextToken())
 		}
 		a.guardLease()
 	}
-	a.state.lastRunnerID = id
+	a.state.lastRunner = a.state.runner
+}
+
+// beginRestarted begins an incarnation of the last runner that has answered a call before it was announced.
+func (a *Agent) beginRestarted(startedMillis int64) {
+	a.options.Log.Info("runner restarted under the same id", "runner", a.state.lastRunner.GetId(), "born", startedMillis)
+	a.state.runner = withStartTime(a.state.lastRunner, startedMillis)
+	if a.state.leaving {
+		a.state.runner = withAgentLeaving(a.state.runner)
+	}
+	a.beginIncarnation(a.state.runner.GetId())
+	a.requestToken(false)
+}
+
+// nextToken returns a token that shuts out all orders so far and none to come: the owner issues higher
+// ones, and a runner accepts equal ones.
+func (a *Agent) nextToken() uint64 { return a.state.highestToken + 1 }
+
+// validToken returns the current token, or one in its place while the agent has none. Orders under the last
+// one must have no effect then.
+func (a *Agent) validToken() uint64 {
+	if a.state.token != 0 {
+		return a.state.token
+	}
+	return a.nextToken()
+}
+
+// watchIncarnation calls the runner at short intervals, also while it is gone or the owner is not reached, as
+// long as a start without an answer may be carried out late. The runner's next incarnation thus learns of a
+// token, and the agent of that incarnation, soon after it listens.
+func (a *Agent) watchIncarnation() {
+	if a.state.watching {
+		return
+	}
+	a.state.watching = true
+	a.guards.Go(func() {
+		for {
+			loop.Pause(a.ctx, watchInterval)
+			var id driver.RunnerID
+			var token uint64
+			watching := false
+			if a.loop.Do(func() { id, token, watching = a.nextWatch() }) != nil || !watching {
+				return
+			}
+			ctx, cancel := context.WithTimeout(a.ctx, watchTimeout)
+			report, err := a.options.Runner.Hold(ctx, id, driver.HoldRequest{Token: token})
+			cancel()
+			if err != nil {
+				continue
+			}
+			if a.loop.Do(func() { a.handleWatch(id, report.Runner.StartedMillis) }) != nil {
+				return
+			}
+		}
+	})
+}
+
+// nextWatch returns the next call of watchIncarnation, or false if no start may be carried out late any more.
+func (a *Agent) nextWatch() (id driver.RunnerID, token uint64, watching bool) {
+	a.forgetUnanswered()
+	a.state.watching = len(a.state.unanswered) > 0
+	if !a.state.watching {
+		return id, 0, false
+	}
+	return driver.RunnerID{ID: a.state.lastRunner.GetId(), StartedMillis: a.state.lastRunner.GetBorn()}, a.validToken(), true
+}
+
+// handleWatch begins another incarnation if the runner says that it is one.
+func (a *Agent) handleWatch(id driver.RunnerID, startedMillis int64) {
+	if startedMillis != 0 && startedMillis != id.StartedMillis && id.ID == a.state.lastRunner.GetId() && id.StartedMillis == a.state.lastRunner.GetBorn() {
+		a.beginRestarted(startedMillis)
+	}
+}
+
+// forgetUnanswered forgets the starts that can't be carried out late any more.
+func (a *Agent) forgetUnanswered() {
+	now := a.options.Clock()
+	maps.DeleteFunc(a.state.unanswered, func(_ driver.RunID, sentAt time.Duration) bool { return now-sentAt > driver.MaxOrderDelay })
 }
 
 // isOtherIncarnation reports whether a reading of the runner's clock, taken after sentAt, is from another
@@ -60,8 +142,8 @@
 // withdrawStart stops a run that the present incarnation of the runner may have taken, or may yet take,
 // from a start that was meant for the one before. The stop is repeated until it is answered: the
 // runner refuses the start from then on.
-func (a *Agent) withdrawStart(id driver.RunID) {
-	client, runner, token := a.options.Runner, a.runnerID(), a.state.highestToken
+func (a *Agent) withdrawStart(id driver.RunID, token uint64) {
+	client, runner := a.options.Runner, a.runnerID()
 	a.calls.Go(func() {
 		for began := a.options.Clock(); a.ctx.Err() == nil && a.options.Clock()-began < driver.MaxOrderDelay; loop.Pause(a.ctx, unhealthyRetryPause) {
 			ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
@@ -70,12 +152,25 @@
 			if isUndecided(err) {
 				continue
 			}
+			if errors.Is(err, driver.ErrFenced) && a.replaceToken(&token) {
+				continue
+			}
 			a.options.Log.Info("start of an earlier incarnation withdrawn", "task", id.Task, "run", id.Run, "runner", runner.ID, "token", token, "error", errs.Text(err))
 			return
 		}
 	})
 }
 
+// replaceToken sets a token that the runner has refused to the present one. It reports whether that is
+// higher.
+func (a *Agent) replaceToken(token *uint64) (higher bool) {
+	_ = a.loop.Do(func() {
+		higher = a.validToken() > *token
+		*token = max(*token, a.validToken())
+	})
+	return higher
+}
+
 // isUndecided reports whether an order may be sent again after a result: the runner did not answer, or
 // was unhealthy.
 func isUndecided(err error) bool {
@@ -96,7 +191,7 @@
 			token, due := uint64(0), false
 			if a.loop.Do(func() {
 				if due = a.leaseRunsOut(); due {
-					runner, token = a.runnerID(), a.state.highestToken
+					runner, token = a.runnerID(), a.validToken()
 				}
 				guarding = a.options.Clock() < a.state.foreignLeaseEnd
 				a.state.guardingLease = guarding
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -189,7 +189,7 @@
 	if clock > 0 && o.token == a.state.token {
 		if a.isOtherIncarnation(clock, sentAt) {
 			o.err = errOtherIncarnation
-			a.withdrawStart(o.id)
+			a.withdrawStart(o.id, a.validToken())
 		} else {
 			a.updateClockOffset(clock)
 		}
@@ -197,6 +197,9 @@
 	silent := errors.Is(err, driver.ErrRunnerIndeterminate)
 	if silent {
 		o.unanswered++
+		if o.kind == orderStart {
+			a.watchIncarnation()
+		}
 	}
 	refusedStop := o.kind == orderStop && errors.Is(err, driver.ErrUnhealthy)
 	q := &a.state.orders
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -37,6 +37,9 @@
 	born      int64
 	lifeBegan time.Time
 	runs      map[driver.RunID]bool
+	// fence is the highest token that the present life has seen. It is down while it does not listen.
+	fence uint64
+	down  bool
 	// stopped holds the runs that were stopped in the present life.
 	stopped map[driver.RunID]bool
 	// answers holds, by task, the answers to the next calls for it; all others are answered with ok.
@@ -50,6 +53,18 @@
 	h.events = append(h.events, fmt.Sprintf("%4d "+format+"\n", append([]any{time.Since(h.began).Milliseconds()}, args...)...))
 }
 
+// accept returns the answer of the runner to a call under a token, as far as that decides it.
+func (h *orderHarness) accept(token uint64) (answer string) {
+	switch {
+	case h.down:
+		return "closed"
+	case token < h.fence:
+		return "fence"
+	}
+	h.fence = token
+	return "ok"
+}
+
 // receive handles a call to the runner, which it answers as the script says.
 func (h *orderHarness) receive(ctx context.Context, order, task string, run uint32, token uint64) (err error) {
 	answer := "ok"
@@ -57,6 +72,9 @@
 		if next := h.answers[task]; len(next) > 0 {
 			answer, h.answers[task] = next[0], next[1:]
 		}
+		if answer == "ok" {
+			answer = h.accept(token)
+		}
 		h.printf("runner: %s %s run %d token %d: %s", order, task, run, token, answer)
 		if id := (driver.RunID{Task: task, Run: run}); answer == "ok" && order == "start" {
 			h.runs[id] = true
@@ -83,14 +101,17 @@
 	return h.receive(ctx, fmt.Sprintf("pace %d%%", percent), id.Task, id.Run, token)
 }
 
-func (h *orderHarness) Hold(context.Context, driver.RunnerID, driver.HoldRequest) (r driver.HoldReport, err error) {
+func (h *orderHarness) Hold(_ context.Context, _ driver.RunnerID, request driver.HoldRequest) (r driver.HoldReport, err error) {
 	_ = h.agent.loop.Do(func() {
+		if err = answers[h.accept(request.Token)]; err != nil {
+			return
+		}
 		r = driver.HoldReport{Runner: driver.RunnerID{ID: "i-1", StartedMillis: h.born}, Clock: h.clock()}
 		for id := range h.runs {
 			r.Running = append(r.Running, driver.ActiveRun{RunID: id})
 		}
 	})
-	return r, nil
+	return r, err
 }
 
 // Send implements ownerLink. The owner answers each synchronisation at once.
@@ -109,6 +130,7 @@
 	h.token++
 	a := h.agent
 	a.applyOrders(h, &flowpb.Orders{Token: h.token, Runner: "i-1", Born: a.state.runner.GetBorn()})
+	h.accept(h.token)
 	h.poll()
 	a.state.leaseEnd = a.options.Clock() + 10*time.Second
 }
@@ -136,7 +158,8 @@
 	h.agent = New(Options{Clock: func() time.Duration { return time.Hour + time.Since(h.began) }, MaxLease: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewFlow(telemetry.NewMetrics()), Runner: h})
 	ctx, stop := context.WithCancel(t.Context())
 	h.agent.ctx = ctx
-	h.agent.state.link, h.agent.state.runner, h.agent.state.lastRunnerID = h, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}, "i-1"
+	h.agent.state.link, h.agent.state.runner = h, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}
+	h.agent.state.lastRunner = h.agent.state.runner
 	done := loop.Go(ctx, h.agent.loop.Run)
 	_ = h.agent.loop.Do(h.confirm)
 	for _, line := range strings.Split(script, "\n") {
@@ -185,18 +208,22 @@
 	case "restarts":
 		// The runner starts again under its id.
 		_ = a.loop.Do(func() {
-			h.born, h.lifeBegan = h.born+1000, time.Now()
+			h.born, h.lifeBegan, h.fence, h.down = h.born+1000, time.Now(), 0, false
 			clear(h.runs)
 			clear(h.stopped)
 		})
 		return
+	case "crashes":
+		// The runner does not listen until it restarts.
+		_ = a.loop.Do(func() { h.down = true })
+		return
 	case "announced":
 		_ = a.loop.Do(func() { a.applyRunner(&flowpb.Runner{Id: "i-1", Born: h.born, MilliCpu: 4}) })
 		return
 	case "late-start":
 		// The runner carries out an attempt that got no answer, under the token of the script's begin.
 		_ = a.loop.Do(func() {
-			if id := (driver.RunID{Task: task, Run: 1}); h.stopped[id] {
+			if id := (driver.RunID{Task: task, Run: 1}); h.stopped[id] || h.fence > 1 {
 				h.printf("runner: refuses the start of %s late", task)
 			} else {
 				h.printf("runner: carries out the start of %s late", task)
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
@@ -105,10 +104,7 @@
 	}
 	a.state.connectionsRefused = 0
 	if report.Runner.StartedMillis != 0 && report.Runner.StartedMillis != a.state.runner.GetBorn() {
-		a.options.Log.Info("runner restarted under the same id", "runner", id.ID, "born", report.Runner.StartedMillis)
-		a.state.runner = withStartTime(a.state.runner, report.Runner.StartedMillis)
-		a.beginIncarnation(id.ID)
-		a.requestToken(false)
+		a.beginRestarted(report.Runner.StartedMillis)
 		return false
 	}
 	a.updateClockOffset(report.Clock)
@@ -116,7 +112,7 @@
 	newlyConfirmed := !a.state.tokenConfirmed
 	a.state.tokenConfirmed = true
 	now := a.options.Clock()
-	maps.DeleteFunc(a.state.unanswered, func(_ driver.RunID, sentAt time.Duration) bool { return now-sentAt > driver.MaxOrderDelay })
+	a.forgetUnanswered()
 	a.state.firstListDue = a.state.firstListDue || newlyConfirmed
 	// A full report has all runs and ends, also those that were reported before.
 	full := newlyConfirmed || now-a.state.listedAt >= listInterval || a.state.firstListDue && !report.MoreEnded
