Agent: overlap the calls that watch a runner

Calls now begin every 20 ms and overlap.

They begin from a goroutine that Run waits for, so Run waits for these before it waits for the calls.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -75,7 +75,7 @@
 	wakePoll chan struct{}
 	// calls tracks the goroutines that call the runner or wait to synchronise.
 	calls sync.WaitGroup
-	// guards tracks guardLease.
+	// guards tracks guardLease and watchIncarnation, which may begin calls.
 	guards sync.WaitGroup
 	ctx    context.Context
 	state  loopState
@@ -165,8 +165,8 @@
 	}
 	<-pollDone
 	<-loopDone
-	a.calls.Wait()
 	a.guards.Wait()
+	a.calls.Wait()
 }
 
 // session connects to the owner and serves the session until it ends.
--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -145,8 +145,8 @@
 	t.Cleanup(func() {
 		stop()
 		<-done
-		a.calls.Wait()
 		a.guards.Wait()
+		a.calls.Wait()
 	})
 	// Checks stay out of f: one that fails would end the goroutine of the loop.
 	onLoop := func(f func()) {
--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -27,10 +27,10 @@
 	// stop takes.
 	leaseStopTime = time.Second
 	guardInterval = 100 * time.Millisecond
-	// watchInterval is the pause between two calls of watchIncarnation, and watchTimeout bounds one. Until the
+	// watchInterval is how often watchIncarnation calls the runner, and watchTimeout bounds a call. Until the
 	// next incarnation of a runner gets the first of them, it carries out any late start.
 	watchInterval = 20 * time.Millisecond
-	watchTimeout  = 40 * time.Millisecond
+	watchTimeout  = 3 * watchInterval
 )
 
 // errOtherIncarnation is the result of a start that another incarnation of the runner has answered.
@@ -93,19 +93,21 @@
 			if a.loop.Do(func() { id, token, watching = a.nextWatch() }) != nil || !watching {
 				return
 			}
-			ctx, cancel := context.WithTimeout(a.ctx, watchTimeout)
-			report, err := a.options.Runner.Hold(ctx, id, driver.HoldRequest{Token: token})
-			cancel()
-			if err != nil {
-				continue
-			}
-			if a.loop.Do(func() { a.handleWatch(id, report.Runner.StartedMillis) }) != nil {
-				return
-			}
+			a.calls.Go(func() { a.watchOnce(id, token) })
 		}
 	})
 }
 
+// watchOnce calls the runner once. Calls overlap, so that one without an answer does not delay the next.
+func (a *Agent) watchOnce(id driver.RunnerID, token uint64) {
+	ctx, cancel := context.WithTimeout(a.ctx, watchTimeout)
+	report, err := a.options.Runner.Hold(ctx, id, driver.HoldRequest{Token: token})
+	cancel()
+	if err == nil {
+		a.loop.Post(func() { a.handleWatch(id, report.Runner.StartedMillis) })
+	}
+}
+
 // nextWatch returns the next call of watchIncarnation, or false if no start may be carried out late any more.
 func (a *Agent) nextWatch() (id driver.RunnerID, token uint64, watching bool) {
 	a.forgetUnanswered()
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -170,8 +170,8 @@
 	synctest.Wait()
 	stop()
 	<-done
-	h.agent.calls.Wait()
 	h.agent.guards.Wait()
+	h.agent.calls.Wait()
 	// Calls of the same moment come in any order.
 	slices.Sort(h.events)
 	return strings.Join(h.events, "")
