Agent: look whether a runner has restarted before repeating a start

The second attempt reaches the next life, with a deadline by the clock of the life before, so that it holds the longest lease, 10 s. Its stop is shed, so the run is done before it is stopped. The owner hears nothing, counts with its own lease, and starts the task elsewhere after 5 s. When the agent is back, it reports the end of the first run, whose lease has not lapsed, and the owner acknowledges it.

Change: before it repeats a start that got no answer, the agent asks the runner for its life, and does not send it to another one.

In TestOrders the owner now addresses the incarnation that the agent knows of, as an owner does.

--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -33,8 +33,8 @@
 	watchTimeout  = 3 * watchInterval
 )
 
-// errOtherIncarnation is the result of a start that another incarnation of the runner has answered.
-var errOtherIncarnation = errors.New("agent: another incarnation has taken the start")
+// errOtherIncarnation is the result of a start that another incarnation of the runner has answered, or would.
+var errOtherIncarnation = errors.New("agent: the runner is another incarnation")
 
 // beginIncarnation resets what counts anew with each incarnation of the runner. If it has the id of
 // the one before, it may have carried out requests that were meant for that one, or yet do so. Their
@@ -108,6 +108,21 @@
 	}
 }
 
+// checkIncarnation returns an error unless the runner is still the given incarnation. One that began while a
+// start got no answer would take a longer lease from its repetition than the owner grants, and a run that is
+// done before it is stopped would count, though the owner, if it is not reached, has started another.
+func (a *Agent) checkIncarnation(ctx context.Context, id driver.RunnerID, token uint64) (err error) {
+	report, err := a.options.Runner.Hold(ctx, id, driver.HoldRequest{Token: token})
+	if err != nil {
+		return err
+	}
+	if born := report.Runner.StartedMillis; born != 0 && born != id.StartedMillis {
+		a.loop.Post(func() { a.handleWatch(id, born) })
+		return errOtherIncarnation
+	}
+	return nil
+}
+
 // nextWatch returns the next call of watchIncarnation, or false if no start may be carried out late any more.
 func (a *Agent) nextWatch() (id driver.RunnerID, token uint64, watching bool) {
 	a.forgetUnanswered()
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -176,7 +176,13 @@
 	request := driver.StartRequest{
 		RunID: id, Spec: o.start.GetSpec(), Checkpoint: o.start.GetCheckpoint(), Ticket: o.start.GetTicket(), Token: token, LeaseEnd: a.runnerLeaseEnd(),
 	}
+	repeated := o.unanswered > 0
 	return func(ctx context.Context) (err error) {
+		if repeated {
+			if err = a.checkIncarnation(ctx, runner, token); err != nil {
+				return err
+			}
+		}
 		*clock, err = client.Start(ctx, runner, request)
 		return err
 	}, clock
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -182,7 +182,9 @@
 	var task string
 	var number int
 	_, _ = fmt.Sscan(rest, &task, &number)
-	a, o := h.agent, &flowpb.Orders{Token: h.token, Runner: "i-1", Born: h.born}
+	a, o := h.agent, &flowpb.Orders{Token: h.token, Runner: "i-1"}
+	// The owner knows of the incarnation that the agent knows of.
+	_ = a.loop.Do(func() { o.Born = a.state.runner.GetBorn() })
 	switch command {
 	case "answers":
 		task, words, _ := strings.Cut(rest, " ")
