Model of takeovers: late attempts of answered and settled starts

The model assumed that no attempt of a start that was answered later, or was settled by a new token, reaches a runner's next life. It now carries them out there in half of the lives that begin at once: those that the agent calls under the token after the highest before such an attempt arrives. In the other half the assumption stands, as the agent may have restarted.

--- a/internal/flow/engine/takeover_test.go
+++ b/internal/flow/engine/takeover_test.go
@@ -79,8 +79,11 @@
 			"last attempt": func(t *rapid.T) { m.lastAttempt(t, rapid.SampledFrom(startAnswers).Draw(t, "answer")) },
 			"exchange":     func(t *rapid.T) { m.exchange(m.runner(t)) },
 			"late start":   func(t *rapid.T) { m.deliverLate(t) },
+			"late attempt": func(t *rapid.T) { m.deliverEarlierAttempt(t) },
 			"end":          func(t *rapid.T) { m.end(m.runner(t), t) },
-			"crash":        func(t *rapid.T) { m.crash(m.runner(t), rapid.Bool().Draw(t, "returns")) },
+			"crash": func(t *rapid.T) {
+				m.crash(m.runner(t), rapid.Bool().Draw(t, "returns"), rapid.Bool().Draw(t, "watched"))
+			},
 			"run normally": func(*rapid.T) { m.runNormally() },
 			"run slowly":   func(t *rapid.T) { m.runSlowly(rapid.IntRange(0, modelRunners).Draw(t, "unheard")) },
 			"report early": func(*rapid.T) { m.reportBeforeFirstCommit() },
@@ -167,6 +170,12 @@
 	lastEnd        uint64
 	undelivered    []*flowpb.Orders
 	receivedStarts []*receivedStart
+	// settledStarts are those that got no answer and that a new token has settled.
+	settledStarts []*receivedStart
+	// issuedToken is the highest token that the agent got from any owner. watched is set if the agent called
+	// the present incarnation under the token after it, before any attempt meant for an earlier one arrived.
+	issuedToken uint64
+	watched     bool
 }
 
 // receivedStart is a start that an agent has received, with the state under which it passes the
@@ -178,8 +187,9 @@
 	leaseEnd      time.Duration
 	startedMillis int64
 	answered      bool
-	// queued is set while no attempt was sent, final once the agent makes no further one.
-	queued, final bool
+	// queued is set while no attempt was sent, final once the agent makes no further one. silent is set if an
+	// attempt before the last got no answer.
+	queued, final, silent bool
 }
 
 func newModel(t *rapid.T) *model {
@@ -380,7 +390,13 @@
 		return
 	}
 	r.leaseEnd = max(r.leaseEnd, r.agentLeaseEnd)
-	r.receivedStarts = slices.DeleteFunc(r.receivedStarts, func(s *receivedStart) bool { return s.token < r.token && !s.answered })
+	r.receivedStarts = slices.DeleteFunc(r.receivedStarts, func(s *receivedStart) bool {
+		settled := s.token < r.token && !s.answered
+		if settled && !s.queued {
+			r.settledStarts = append(r.settledStarts, s)
+		}
+		return settled
+	})
 	r.reportSequence++
 	r.reportSentAt[r.reportSequence] = m.now
 	report := &flowpb.Report{Token: r.token, Sequence: r.reportSequence, Runner: m.info(r), Listed: true, Ends: slices.Clone(r.ends)}
@@ -415,6 +431,7 @@
 		return
 	}
 	r.token = o.GetToken()
+	r.issuedToken = max(r.issuedToken, r.token)
 	if o.GetGrantMillis() > 0 {
 		granted := time.Duration(o.GetGrantMillis()) * time.Millisecond
 		r.agentLeaseEnd = max(r.agentLeaseEnd, r.reportSentAt[o.GetReport()]+time.Duration(float64(granted)*modelClockDrift))
@@ -533,14 +550,13 @@
 }
 
 // lastAttempt makes the last attempt of a start of which the ones before got no answer. Only a start
-// that has run is known to: any other answer leaves open whether an earlier attempt is carried out. No
-// attempt before the one that shows the run to be there outlives the connection to its incarnation.
+// that has run is known to: any other answer leaves open whether an earlier attempt is carried out.
 func (m *model) lastAttempt(t *rapid.T, answer string) {
 	r, s := m.drawStart(t, func(s *receivedStart) bool { return !s.queued && !s.final })
 	if s == nil {
 		return
 	}
-	s.final = true
+	s.final, s.silent = true, true
 	outcome := flowpb.StartOutcome_START_OUTCOME_DOUBT
 	if !r.down && answer == startAnswered && m.start(r, s) == flowpb.StartOutcome_START_OUTCOME_STARTED {
 		outcome, s.answered = flowpb.StartOutcome_START_OUTCOME_STARTED, true
@@ -601,7 +617,7 @@
 }
 
 // deliverLate delivers an earlier start to the runner again, after newer orders. A copy of an
-// answered one does not outlive the connection to its incarnation.
+// answered one reaches the incarnation that it was meant for; deliverEarlierAttempt has the others.
 func (m *model) deliverLate(t *rapid.T) {
 	r, s := m.drawStart(t, func(s *receivedStart) bool { return !s.queued && !s.answered && m.now < s.leaseEnd })
 	if s == nil {
@@ -612,6 +628,27 @@
 	}
 }
 
+// deliverEarlierAttempt delivers an attempt that got no answer, of a start that was answered or settled since, to
+// a later incarnation, whose agent watches it.
+func (m *model) deliverEarlierAttempt(t *rapid.T) {
+	for _, r := range m.runners {
+		r.settledStarts = slices.DeleteFunc(r.settledStarts, func(s *receivedStart) bool { return m.now >= s.leaseEnd })
+	}
+	var starts []*receivedStart
+	runners := map[*receivedStart]*modelRunner{}
+	for _, r := range m.runners {
+		for _, s := range slices.Concat(r.receivedStarts, r.settledStarts) {
+			if r.watched && s.startedMillis != r.startedMillis && (s.silent || !s.answered) && !s.queued && m.now < s.leaseEnd {
+				starts, runners[s] = append(starts, s), r
+			}
+		}
+	}
+	if len(starts) > 0 {
+		s := starts[rapid.IntRange(0, len(starts)-1).Draw(t, "attempt")]
+		m.start(runners[s], s)
+	}
+}
+
 func (m *model) end(r *modelRunner, t *rapid.T) {
 	if len(r.running) == 0 {
 		return
@@ -628,14 +665,18 @@
 }
 
 // crash ends the runner, with all its state lost, and starts its next incarnation under the same id
-// if it returns. Its agent learns of it from the next poll.
-func (m *model) crash(r *modelRunner, returns bool) {
+// if it returns. Its agent learns of it at once if it watches the runner, or else from the next poll.
+func (m *model) crash(r *modelRunner, returns, watched bool) {
 	if !r.down {
 		r.startedMillis++
 	}
 	r.down = !returns
 	r.highestToken, r.lastEnd, r.leaseEnd = 0, 0, 0
 	r.running, r.highestEndedRun, r.ends = map[string]uint32{}, map[string]uint32{}, nil
+	if r.watched = returns && watched; r.watched {
+		r.highestToken = r.issuedToken + 1
+		m.noticeIncarnation(r)
+	}
 }
 
 // advanceTime advances the clock. Leases expire on the runners before their owners count them as
