--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -75,7 +75,7 @@
 	wakePoll chan struct{}
 	// calls tracks the goroutines that call the runner or wait to synchronise.
 	calls sync.WaitGroup
-	// guards tracks guardLease.
+	// guards tracks guardLease and watchIncarnation, which may begin calls.
 	guards sync.WaitGroup
 	ctx    context.Context
 	state  loopState
@@ -117,9 +117,12 @@
 	// attempt. The runner refuses them once it has seen a higher token, but its next incarnation has seen
 	// none.
 	unanswered map[driver.RunID]time.Duration
-	// lastRunnerID is the id of the last runner that was announced. foreignLeaseEnd bounds, on this
-	// VM's steady clock, a lease that the runner has taken from a request to its incarnation before.
-	lastRunnerID    string
+	// watching is set while watchIncarnation runs.
+	watching bool
+	// lastRunner is the last incarnation of a runner that the agent knew of, which may be gone. foreignLeaseEnd
+	// bounds, on this VM's steady clock, a lease that the runner has taken from a request to its incarnation
+	// before.
+	lastRunner      *flowpb.Runner
 	foreignLeaseEnd time.Duration
 	// guardingLease is set while guardLease runs.
 	guardingLease bool
@@ -165,8 +168,8 @@
 	}
 	<-pollDone
 	<-loopDone
-	a.calls.Wait()
 	a.guards.Wait()
+	a.calls.Wait()
 }
 
 // session connects to the owner and serves the session until it ends.
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -176,7 +176,13 @@
 	request := driver.StartRequest{
 		RunID: id, Spec: o.start.GetSpec(), Checkpoint: o.start.GetCheckpoint(), Ticket: o.start.GetTicket(), Token: token, LeaseEnd: a.runnerLeaseEnd(),
 	}
+	repeated := o.unanswered > 0
 	return func(ctx context.Context) (err error) {
+		if repeated {
+			if err = a.checkIncarnation(ctx, runner, token); err != nil {
+				return err
+			}
+		}
 		*clock, err = client.Start(ctx, runner, request)
 		return err
 	}, clock
@@ -189,7 +195,7 @@
 	if clock > 0 && o.token == a.state.token {
 		if a.isOtherIncarnation(clock, sentAt) {
 			o.err = errOtherIncarnation
-			a.withdrawStart(o.id)
+			a.withdrawStart(o.id, a.validToken())
 		} else {
 			a.updateClockOffset(clock)
 		}
@@ -197,6 +203,9 @@
 	silent := errors.Is(err, driver.ErrRunnerIndeterminate)
 	if silent {
 		o.unanswered++
+		if o.kind == orderStart {
+			a.watchIncarnation()
+		}
 	}
 	refusedStop := o.kind == orderStop && errors.Is(err, driver.ErrUnhealthy)
 	q := &a.state.orders
