--- a/internal/flow/agent/poll_test.go
+++ b/internal/flow/agent/poll_test.go
@@ -54,7 +54,8 @@
 		Clock: func() time.Duration { return time.Hour + time.Since(began) }, MaxLease: 10 * time.Second, Runner: runner,
 		Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewFlow(telemetry.NewMetrics()),
 	})
-	a.state.link, a.state.runner, a.state.lastRunnerID = l, &flowpb.Runner{Id: "i-1", Born: 1000}, "i-1"
+	a.state.link, a.state.runner = l, &flowpb.Runner{Id: "i-1", Born: 1000}
+	a.state.lastRunner = a.state.runner
 	return a, l
 }
 
