Evict no more for an urgent task while the first stops are under way

Operators saw: beside load, six or more patient tasks were evicted for two urgent ones that need the room of two each (TestScenarios/tasks-urgent, line 10, evictions=6 in place of 2 to 4). docs/DESIGN.md promises the room of the fewest patient ones on one worker.

Cause, suspected before and now shown: a checkpoint and a stop may take longer than the 2 s after which a task preempts again, and the tasks that were being stopped then counted for nothing, so two more were evicted. Besides, when the room that was made for one urgent task came free first and another took it, the hold of the latter was dropped where its own room was still being vacated: patient tasks took what had come free there, and were evicted once more.

Room that is being vacated now counts, as long as the agent has not answered a stop without an end of the task; a worker that can't checkpoint is not waited for. A task that is placed in the room of another passes its hold on to it.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -78,6 +78,7 @@
 	}
 	r.placed++
 	w.assign(a)
+	o.passHold(a.task, w.Name)
 	o.throttleAtStart(w, a)
 	o.addReserved(jt.job.GetTeam(), a.reserved)
 	delete(r.quotaShares, jt.job.GetTeam())
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -42,9 +43,29 @@
 	return held
 }
 
+// passHold ends the hold of a task that was placed on a worker. If that room was held for another
+// waiting task, that one gets the hold instead.
+func (o *Owner) passHold(task, worker string) {
+	own, ok := o.control.holds[task]
+	if !ok {
+		return
+	}
+	delete(o.control.holds, task)
+	if own.worker == worker {
+		return
+	}
+	for _, other := range slices.Sorted(maps.Keys(o.control.holds)) {
+		if h := o.control.holds[other]; h.worker == worker && h.need.Fits(own.need) {
+			h.worker, h.until = own.worker, own.until
+			o.control.holds[other] = h
+			return
+		}
+	}
+}
+
 // preempt evicts patient tasks to make room for an urgent one, on the worker where the fewest
-// evictions suffice. The urgent task is placed in a later round, once the evicted tasks have
-// ended.
+// evictions suffice; none are needed where enough tasks are being stopped already. The urgent task
+// is placed in a later round, once the evicted tasks have ended.
 func (o *Owner) preempt(task string, need driver.Resources, now time.Time) {
 	if now.Before(o.control.nextPreempt[task]) {
 		return
@@ -55,11 +76,21 @@
 		if !w.usable(now) {
 			continue
 		}
-		if v := w.victims(need, w.free().Minus(o.heldForOthers(w.Name, task, now))); v != nil && (victims == nil || len(v) < len(victims) || len(v) == len(victims) && w.Name < chosen) {
+		free := w.free().Minus(o.heldForOthers(w.Name, task, now))
+		var v []*assignment
+		if need.Fits(free) {
+			continue
+		}
+		if !need.Fits(free.Plus(w.vacating())) {
+			if v = w.victims(need, free); v == nil {
+				continue
+			}
+		}
+		if chosen == "" || len(v) < len(victims) || len(v) == len(victims) && w.Name < chosen {
 			victims, chosen = v, w.Name
 		}
 	}
-	if victims == nil {
+	if chosen == "" {
 		return
 	}
 	o.control.nextPreempt[task] = now.Add(preemptInterval)
@@ -72,6 +103,17 @@
 	o.retryStops(o.control.workers[chosen], now)
 }
 
+// vacating returns what is reserved for tasks that are being stopped. A task whose stop the agent has
+// answered without an end does not count, as it may keep its room.
+func (w *worker) vacating() (sum driver.Resources) {
+	for _, a := range w.assigned {
+		if (a.evictRequested || a.stopRequested) && a.nextStop.IsZero() {
+			sum = sum.Plus(a.reserved)
+		}
+	}
+	return sum
+}
+
 // victims returns the patient tasks to evict, largest first, so that need fits in addition to
 // free. It returns nil if evicting all of them would not suffice, or if none needs to be evicted.
 func (w *worker) victims(need, free driver.Resources) (victims []*assignment) {
