Say how a process ended before a scenario's signal

TestScenarios/tasks-entries failed once with "os: process already finished" when it resumed an entry that it had suspended 8 s before. Nothing says whether that process exited or was killed, so it can't be traced. The command now prints how it ended ("signal: killed", "exit status 1").

--- a/internal/scenario/faults_test.go
+++ b/internal/scenario/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -29,7 +31,10 @@
 		if a.arg(0) == "term" {
 			p.terminatedAt = time.Now()
 		}
-		if err := p.command.Process.Signal(signals[a.arg(0)]); err != nil {
+		if err := p.command.Process.Signal(signals[a.arg(0)]); errors.Is(err, os.ErrProcessDone) {
+			<-p.done
+			return "", fmt.Errorf("%s has ended by itself: %v", name, p.command.ProcessState)
+		} else if err != nil {
 			return "", err
 		}
 		s.mu.Lock()
