--- a/internal/flow/agent/poll_test.go
+++ b/internal/flow/agent/poll_test.go
@@ -107,6 +107,7 @@
 		granted := time.Now()
 		l.grant(a, 8)
 		time.Sleep(pollWait / 10)
+		synctest.Wait()
 		is.True(l.reported[len(l.reported)-1].Compare(granted) >= 0) // the report under the new token waits for the old poll
 		stop()
 		<-pollDone
