Double the pauses between reads of the owner record in doubt

Cause: agents without an owner read the record every 2 s for as long as that lasted. At 18,000 VMs a region without owners would have asked the store for 9,000 calls every 2 s, which answers about 2,000 a second (worked out, docs/CAPACITY.md).

The pause doubles with each read, so that the watch of 4 s is soon what finds the owner again, on a new connection.

--- a/internal/flow/locate/locate.go
+++ b/internal/flow/locate/locate.go
@@ -26,8 +26,8 @@
 	watchSlack = 700 * time.Millisecond
 	retryPause = 150 * time.Millisecond
 	// doubtDelay is how long the owner must be unreachable before its record is read although a watch waits
-	// for changes, and doubtInterval how often it is read then. Most takeovers are over sooner. doubtSpread
-	// spreads the reads of a cell's agents, which lose the owner together.
+	// for changes, and doubtInterval the time until it is read again, which doubles each time. Most takeovers
+	// are over sooner. doubtSpread spreads the reads of a cell's agents, which lose the owner together.
 	doubtDelay    = time.Second
 	doubtSpread   = 500 * time.Millisecond
 	doubtInterval = 2 * time.Second
@@ -56,9 +56,9 @@
 	// endWatch ends the watch in progress. It is nil if there is none.
 	endWatch context.CancelCauseFunc
 	// doubted is the record whose owner couldn't be reached at lastDoubt, and readAgainAt when it is read
-	// for that reason.
-	doubted                *flowpb.Owner
-	lastDoubt, readAgainAt time.Duration
+	// for that reason, and after doubtPause once more.
+	doubted                            *flowpb.Owner
+	lastDoubt, readAgainAt, doubtPause time.Duration
 }
 
 // New returns a Follower. Run must be called next.
@@ -175,11 +175,11 @@
 	defer f.mu.Unlock()
 	now := f.options.Clock()
 	if record != f.doubted || now-f.lastDoubt > doubtDelay {
-		f.doubted, f.readAgainAt = record, now+doubtDelay+rand.N(doubtSpread)
+		f.doubted, f.readAgainAt, f.doubtPause = record, now+doubtDelay+rand.N(doubtSpread), doubtInterval
 	}
 	f.lastDoubt = now
 	if record == f.record && now >= f.readAgainAt && f.endWatch != nil {
-		f.readAgainAt = now + doubtInterval
+		f.readAgainAt, f.doubtPause = now+f.doubtPause, 2*f.doubtPause
 		f.endWatch(errDoubted)
 	}
 }
--- a/internal/flow/locate/locate_test.go
+++ b/internal/flow/locate/locate_test.go
@@ -161,6 +161,7 @@
 				r, _, _ := f.Record()
 				f.Doubt(r)
 			}
+			synctest.Wait()
 		}
 		doubtFor(900 * time.Millisecond)
 		is.Equal(store.lists, 1) // read before a takeover is over
@@ -170,6 +171,9 @@
 		is.Equal(r.GetNode(), "e-2") // still waiting for the watch
 		is.Equal(store.lists, 2)
 		doubtFor(2200 * time.Millisecond)
-		is.Equal(store.lists, 3) // read more often than every 2 s
+		is.Equal(store.lists, 3) // read again before 2 s are over
+		doubtFor(10 * time.Second)
+		// After 1 s, 3 s and 7 s, and when the watch ends by itself, 4.7 s after the last.
+		is.True(store.lists <= 6) // the pauses do not become longer
 	})
 }
