Owner: hold back an end under a lease that no owner granted

The next life carries out late starts of the life before, under the longest lease, and their runs are done. The owner waits for the lease that it granted, starts the tasks elsewhere, and 0.2 s later gets the list of i-0, whose ends it acknowledges.

Change: the end of a run that is not assigned, of a task that was started again, on a runner that may hold a lease which no owner granted, is held back until all its leases have ended. All other ends are acknowledged as before.

Failed before: TestEngine/done-under-foreign-lease (the end of j1.0.0.0 run 1 was acknowledged at once).

--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -42,6 +42,7 @@
 	}
 	if !sameIncarnation(w.info, info) {
 		w.acknowledgedEnd, w.processedEnd, w.heldEnds, w.orphanRuns, w.health = 0, 0, nil, map[driver.RunID]time.Duration{}, health{}
+		w.noLeaseUntil = 0
 		for _, r := range w.runs.list {
 			// The new incarnation may carry out a start that was sent to the one before.
 			r.confirmed = false
@@ -107,9 +108,10 @@
 // never exceeds the time for which this process certainly owns the cell.
 func (e *Engine) grantLease(w *worker, now time.Duration) {
 	length := min(e.options.Lease, e.grantUntil-now)
-	if length <= 0 {
+	if length <= 0 || now < w.noLeaseUntil {
 		return
 	}
+	w.noLeaseUntil = 0
 	w.grantedUntil = now + length
 	w.leaseEnd = max(w.leaseEnd, leaseExpiry(now, length, e.options.Lease))
 	o := e.ordersFor(w)
@@ -311,6 +313,9 @@
 	} else {
 		e.options.Log.Info("ignoring end of a run that is not assigned", "node", w.node, "task", end.GetTask(), "run", end.GetRun(), "kind", driver.EndDone.String())
 	}
+	if t != nil && end.GetRun() < t.lastRun && now.Monotonic < w.foreignLeaseEnd && !t.step.def.GetSpeculative() {
+		e.letLeaseEnd(w, end.GetNumber())
+	}
 	e.holdOrphanEnd(w, end.GetNumber(), j, t)
 }
 
--- a/internal/flow/engine/hold.go
+++ b/internal/flow/engine/hold.go
@@ -16,6 +16,8 @@
 	// task is the one that has ended. It is nil if its copies aren't known, since only the owner before
 	// knew them.
 	task *task
+	// untilLease is set if the end is held back until the runner gets a lease again.
+	untilLease bool
 }
 
 // holdEnd holds back the end of a completed run if another copy of its task may still start.
@@ -37,9 +39,22 @@
 	}
 }
 
+// letLeaseEnd holds back the end of a completed run until the lease under which it ended is over. The runner's
+// incarnation took the run from an order that was meant for the one before, with a longer lease than an owner
+// granted, and the task was started again meanwhile. Such an end does not count once the lease has ended before
+// the acknowledgement.
+func (e *Engine) letLeaseEnd(w *worker, number uint64) {
+	w.noLeaseUntil = max(w.noLeaseUntil, w.leaseEnd)
+	w.heldEnds = append(w.heldEnds, heldEnd{number: number, untilLease: true})
+	e.options.Log.Warn("runner gets no lease until the one that it holds has ended", "node", w.node, "runner", w.info.GetId(), "end", number)
+}
+
 // holds reports whether an end is still held back.
-func (e *Engine) holds(h heldEnd) bool {
-	if h.task == nil {
+func (e *Engine) holds(w *worker, h heldEnd) bool {
+	switch {
+	case h.untilLease:
+		return w.noLeaseUntil > 0
+	case h.task == nil:
 		return !e.earlierLeasesEnded
 	}
 	return h.task.mayStart()
@@ -48,7 +63,7 @@
 // acknowledgeable returns the number of the last end of a worker that may be acknowledged, once all
 // ends that were processed are stored.
 func (e *Engine) acknowledgeable(w *worker) uint64 {
-	w.heldEnds = slices.DeleteFunc(w.heldEnds, func(h heldEnd) bool { return !e.holds(h) })
+	w.heldEnds = slices.DeleteFunc(w.heldEnds, func(h heldEnd) bool { return !e.holds(w, h) })
 	if len(w.heldEnds) > 0 {
 		return w.heldEnds[0].number - 1
 	}
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -35,6 +35,8 @@
 	// foreignLeaseEnd is until when the runner may hold a lease that no owner granted, which it took from a
 	// request meant for an earlier incarnation. leaseEnd is no earlier.
 	foreignLeaseEnd time.Duration
+	// noLeaseUntil is until when the runner gets no lease, so that the one that it holds ends (see letLeaseEnd).
+	noLeaseUntil time.Duration
 	// grantedUntil is the end of the last lease that this owner has granted.
 	grantedUntil time.Duration
 	// reportedAt and reportSequence are the arrival and the number of the last report.
@@ -168,7 +170,7 @@
 // schedulable reports whether new tasks may be placed on the worker. An agent without a lease of
 // this owner may refuse starts.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.connected && w.synced && now < w.grantedUntil && !w.info.GetDraining() && !w.info.GetAgentLeaving() &&
+	return w.connected && w.synced && now < w.grantedUntil && now >= w.noLeaseUntil && !w.info.GetDraining() && !w.info.GetAgentLeaving() &&
 		now-w.reportedAt < maxReportAge && len(w.orphanRuns) == 0
 }
 
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -128,6 +128,9 @@
 		for _, end := range h.runners[name].ends {
 			h.printf("%d %s run %d\n", end.GetNumber(), end.GetTask(), end.GetRun())
 		}
+	case "lease":
+		// What is left of the lease that the owner has granted last.
+		h.printf("%v\n", max(0, h.engine.workers[name].grantedUntil-h.now.Monotonic))
 	case "reconnect":
 		h.engine.Disconnect(name, h.now)
 		h.engine.Connect(name)
@@ -171,6 +174,9 @@
 			// The new incarnation carries out a start that was sent to the one before.
 			r.running[driver.RunID{Task: id, Run: uint32(n)}] = &flowpb.Run{Task: id, Run: uint32(n)}
 		}
+		if d.HasArg("done") {
+			r.end(driver.RunID{Task: id, Run: uint32(n)}, driver.EndDone, "")
+		}
 		h.engine.Sync(name, &flowpb.Sync{Runner: r.info, LeaseMillis: int64(ms)}, h.now)
 		h.carryOutEffects()
 		h.report(name)
