--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -117,8 +117,9 @@
 	// attempt. The runner refuses them once it has seen a higher token, but its next incarnation has seen
 	// none.
 	unanswered map[driver.RunID]time.Duration
-	// watching is set while watchIncarnation runs.
-	watching bool
+	// watching is set while watchIncarnation runs, with watchInterval between its calls if the agent has no token.
+	watching      bool
+	watchInterval time.Duration
 	// lastRunner is the last incarnation of a runner that the agent knew of, which may be gone. foreignLeaseEnd
 	// bounds, on this VM's steady clock, a lease that the runner has taken from a request to its incarnation
 	// before.
--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -28,9 +28,12 @@
 	leaseStopTime = time.Second
 	guardInterval = 100 * time.Millisecond
 	// watchInterval is how often watchIncarnation calls the runner, and watchTimeout bounds a call. Until the
-	// next incarnation of a runner gets the first of them, it carries out any late start.
-	watchInterval = 20 * time.Millisecond
-	watchTimeout  = 3 * watchInterval
+	// next incarnation of a runner gets the first of them, it carries out any late start. A call without an
+	// answer costs a connection: slowWatchInterval is for a runner that is polled as well, and the interval
+	// grows up to it by a quarter with each call that fails.
+	watchInterval     = 20 * time.Millisecond
+	slowWatchInterval = 100 * time.Millisecond
+	watchTimeout      = 3 * watchInterval
 )
 
 // errOtherIncarnation is the result of a start that another incarnation of the runner has answered, or would.
@@ -83,14 +86,18 @@
 	if a.state.watching {
 		return
 	}
-	a.state.watching = true
+	a.state.watching, a.state.watchInterval = true, watchInterval
 	a.guards.Go(func() {
+		var pause time.Duration
 		for {
-			loop.Pause(a.ctx, watchInterval)
+			loop.Pause(a.ctx, pause)
 			var id driver.RunnerID
 			var token uint64
 			watching := false
-			if a.loop.Do(func() { id, token, watching = a.nextWatch() }) != nil || !watching {
+			if a.loop.Do(func() {
+				id, token, watching = a.nextWatch()
+				pause = a.watchPause()
+			}) != nil || !watching {
 				return
 			}
 			a.calls.Go(func() { a.watchOnce(id, token) })
@@ -103,9 +110,14 @@
 	ctx, cancel := context.WithTimeout(a.ctx, watchTimeout)
 	report, err := a.options.Runner.Hold(ctx, id, driver.HoldRequest{Token: token})
 	cancel()
-	if err == nil {
-		a.loop.Post(func() { a.handleWatch(id, report.Runner.StartedMillis) })
-	}
+	a.loop.Post(func() {
+		if err != nil {
+			a.state.watchInterval = min(a.state.watchInterval*5/4, slowWatchInterval)
+			return
+		}
+		a.state.watchInterval = watchInterval
+		a.handleWatch(id, report.Runner.StartedMillis)
+	})
 }
 
 // checkIncarnation returns an error unless the runner is still the given incarnation. One that began while a
@@ -133,6 +145,14 @@
 	return driver.RunnerID{ID: a.state.lastRunner.GetId(), StartedMillis: a.state.lastRunner.GetBorn()}, a.validToken(), true
 }
 
+// watchPause returns the pause before the next call of watchIncarnation.
+func (a *Agent) watchPause() time.Duration {
+	if a.state.token != 0 {
+		return slowWatchInterval
+	}
+	return a.state.watchInterval
+}
+
 // handleWatch begins another incarnation if the runner says that it is one.
 func (a *Agent) handleWatch(id driver.RunnerID, startedMillis int64) {
 	if startedMillis != 0 && startedMillis != id.StartedMillis && id.ID == a.state.lastRunner.GetId() && id.StartedMillis == a.state.lastRunner.GetBorn() {
