Keep signals caught when a command has ended

Change: the signals are not released at the end. That saves the wait, and another SIGTERM no longer gives an ended command the status of a signal.

TestSignalAfterEnd failed before ('signal: terminated').

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -67,10 +67,10 @@
 }
 
 // Run parses and executes the command line in args and returns the exit status. SIGINT and
-// SIGTERM cancel the command.
+// SIGTERM cancel the command. They stay caught when it has ended, so that another one does not change
+// the exit status.
 func Run(args []string, in io.Reader, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	s := streams{in: in, out: out, err: errOut}
 	parser := flags.NewNamedParser("jasminebay", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "a scheduler for latency-critical services and batch work on the same VMs"
