Judge stalled runs by their runner's last report

A run was taken for stalled if it had made no progress up to now, also where its runner had not reported for up to 1.6 s of that.

Now the time runs to the runner's last report. A run that does stall is stopped at the first check after a report that shows it, up to one report later.

TestEngine/stalled-unreported stops the run without the change.

--- a/internal/flow/engine/straggle.go
+++ b/internal/flow/engine/straggle.go
@@ -72,7 +72,7 @@
 			if r.phase != phaseRunning || r.task.step.def.GetLasting() || r.pace < fullPace {
 				continue
 			}
-			if now-r.progressedAt > max(stallTimeout, time.Duration(stallTimeoutShare*float64(e.expectedDuration(r)))) {
+			if w.reportedAt-r.progressedAt > max(stallTimeout, time.Duration(stallTimeoutShare*float64(e.expectedDuration(r)))) {
 				stalled++
 				r.task.avoid(w)
 				e.stopRun(r, now, "stalled")
