Answer requests whose unread body never comes

Callers and runners whose sender went silent in the middle of a body that nobody reads (404, a read, a cancel, a deregistration) got no answer, and their connections stayed open until the server stopped.

Cause: net/http reads up to 256 KiB of an unread body before it sends the response, and only bodies that handlers read had a deadline.

--- a/internal/upload/upload.go
+++ b/internal/upload/upload.go
@@ -19,3 +19,14 @@
 	_ = c.SetReadDeadline(time.Time{})
 	return body, nil
 }
+
+// Limit returns a handler whose requests must arrive within timeout, as far as h does not read them with
+// Read: before it sends the response, the server reads what is left of a body.
+func Limit(h http.Handler, timeout time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
