Offer a restarted runner as it last announced itself

Cause: the last runner was kept as it was when its incarnation began, and the watch of late starts offered it. Now its identity alone is kept, an incarnation takes what the one before last announced, and one that follows on a runner that was gone is only fenced and its late starts withdrawn until it announces itself. The watch also uses the token after the highest while the agent has the lower one of an owner that was replaced.

The agent's tests pass, also with -race, and system/late-*, reborn-behind-cut, done-behind-cut, overtaken-start, agent-restarts and path.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -123,7 +123,7 @@
 	// lastRunner is the last incarnation of a runner that the agent knew of, which may be gone. foreignLeaseEnd
 	// bounds, on this VM's steady clock, a lease that the runner has taken from a request to its incarnation
 	// before.
-	lastRunner      *flowpb.Runner
+	lastRunner      driver.RunnerID
 	foreignLeaseEnd time.Duration
 	// guardingLease is set while guardLease runs.
 	guardingLease bool
@@ -273,7 +273,7 @@
 	switch {
 	case before == nil || before.GetId() != r.GetId() || before.GetBorn() != r.GetBorn():
 		a.options.Log.Info("runner announced", "runner", r.GetId(), "born", r.GetBorn(), "service", r.GetService(), "cpu", r.GetMilliCpu(), "memory-mb", r.GetMemoryMb())
-		a.beginIncarnation(r.GetId())
+		a.beginIncarnation()
 		a.requestToken(false)
 	case before.GetDraining() != r.GetDraining():
 		a.options.Log.Info("runner state changed", "runner", r.GetId(), "draining", r.GetDraining(), "remaining-ms", r.GetRemainingMillis())
--- a/internal/flow/agent/agent_test.go
+++ b/internal/flow/agent/agent_test.go
@@ -73,7 +73,7 @@
 	metrics := telemetry.NewFlow(telemetry.NewMetrics())
 	a := New(Options{Clock: func() time.Duration { return *now }, MaxLease: 10 * time.Second, Log: slog.New(slog.DiscardHandler), Metrics: metrics})
 	a.state.link, a.state.runner, a.state.token = l, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}, 7
-	a.state.lastRunner = a.state.runner
+	a.state.lastRunner = a.runnerID()
 	return a, owner
 }
 
--- a/internal/flow/agent/incarnation.go
+++ b/internal/flow/agent/incarnation.go
@@ -39,30 +39,41 @@
 // errOtherIncarnation is the result of a start that another incarnation of the runner has answered, or would.
 var errOtherIncarnation = errors.New("agent: the runner is another incarnation")
 
-// beginIncarnation resets what counts anew with each incarnation of the runner. If it has the id of
-// the one before, it may have carried out requests that were meant for that one, or yet do so. Their
-// leases are times on another clock, so that the runner may have taken them for the longest that it
-// accepts.
-func (a *Agent) beginIncarnation(id string) {
+// beginIncarnation resets what counts anew with each incarnation of the runner.
+func (a *Agent) beginIncarnation() {
 	a.state.acknowledgedEnd, a.state.confirmedEnd, a.state.lastCountedEnd, a.state.clockReadAt = 0, 0, 0, 0
-	if id == a.state.lastRunner.GetId() {
-		a.state.foreignLeaseEnd = a.options.Clock() + a.options.MaxLease
-		for run := range a.state.unanswered {
-			a.withdrawStart(run, a.nextToken())
-		}
-		a.guardLease()
+	before := a.state.lastRunner
+	a.state.lastRunner = a.runnerID()
+	if before.ID == a.state.lastRunner.ID {
+		a.withdrawStarts()
+	}
+}
+
+// withdrawStarts takes back what the last runner may have carried out, or may yet carry out, of requests that
+// were meant for its incarnation before. Their leases are times on another clock, so that it may have taken
+// them for the longest that it accepts.
+func (a *Agent) withdrawStarts() {
+	a.state.foreignLeaseEnd = a.options.Clock() + a.options.MaxLease
+	for run := range a.state.unanswered {
+		a.withdrawStart(run, a.nextToken())
 	}
-	a.state.lastRunner = a.state.runner
+	a.guardLease()
 }
 
-// beginRestarted begins an incarnation of the last runner that has answered a call before it was announced.
+// beginRestarted begins an incarnation that has answered a call before it was announced. One that follows on
+// a runner that was gone is offered to the owner with its announcement, as it may be of another kind.
 func (a *Agent) beginRestarted(startedMillis int64) {
-	a.options.Log.Info("runner restarted under the same id", "runner", a.state.lastRunner.GetId(), "born", startedMillis)
-	a.state.runner = withStartTime(a.state.lastRunner, startedMillis)
+	a.options.Log.Info("runner restarted under the same id", "runner", a.state.lastRunner.ID, "born", startedMillis)
+	if a.state.runner == nil {
+		a.state.lastRunner.StartedMillis = startedMillis
+		a.withdrawStarts()
+		return
+	}
+	a.state.runner = withStartTime(a.state.runner, startedMillis)
 	if a.state.leaving {
 		a.state.runner = withAgentLeaving(a.state.runner)
 	}
-	a.beginIncarnation(a.state.runner.GetId())
+	a.beginIncarnation()
 	a.requestToken(false)
 }
 
@@ -70,10 +81,10 @@
 // ones, and a runner accepts equal ones.
 func (a *Agent) nextToken() uint64 { return a.state.highestToken + 1 }
 
-// validToken returns the current token, or one in its place while the agent has none. Orders under the last
-// one must have no effect then.
+// validToken returns the current token, or one in its place while the agent has none, or has that of an owner
+// which another has replaced. Orders under the last one must have no effect then.
 func (a *Agent) validToken() uint64 {
-	if a.state.token != 0 {
+	if a.state.token >= a.state.highestToken && a.state.token != 0 {
 		return a.state.token
 	}
 	return a.nextToken()
@@ -142,7 +153,7 @@
 	if !a.state.watching {
 		return id, 0, false
 	}
-	return driver.RunnerID{ID: a.state.lastRunner.GetId(), StartedMillis: a.state.lastRunner.GetBorn()}, a.validToken(), true
+	return a.state.lastRunner, a.validToken(), true
 }
 
 // watchPause returns the pause before the next call of watchIncarnation.
@@ -155,7 +166,7 @@
 
 // handleWatch begins another incarnation if the runner says that it is one.
 func (a *Agent) handleWatch(id driver.RunnerID, startedMillis int64) {
-	if startedMillis != 0 && startedMillis != id.StartedMillis && id.ID == a.state.lastRunner.GetId() && id.StartedMillis == a.state.lastRunner.GetBorn() {
+	if startedMillis != 0 && startedMillis != id.StartedMillis && id == a.state.lastRunner {
 		a.beginRestarted(startedMillis)
 	}
 }
@@ -180,7 +191,7 @@
 // from a start that was meant for the one before. The stop is repeated until it is answered: the
 // runner refuses the start from then on.
 func (a *Agent) withdrawStart(id driver.RunID, token uint64) {
-	client, runner := a.options.Runner, a.runnerID()
+	client, runner := a.options.Runner, a.state.lastRunner
 	a.calls.Go(func() {
 		for began := a.options.Clock(); a.ctx.Err() == nil && a.options.Clock()-began < driver.MaxOrderDelay; loop.Pause(a.ctx, unhealthyRetryPause) {
 			ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
--- a/internal/flow/agent/incarnation_test.go
+++ b/internal/flow/agent/incarnation_test.go
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	runners := offered(t, func(a *Agent) {
 		a.state.runner = &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4, Labels: []string{"a"}}
-		a.state.lastRunner = a.state.runner
+		a.state.lastRunner = a.runnerID()
 		restart := func(from, to int64) {
 			a.state.token = 7
 			a.handlePoll(driver.RunnerID{ID: "i-1", StartedMillis: from}, driver.HoldRequest{Token: 7}, driver.HoldReport{Runner: driver.RunnerID{ID: "i-1", StartedMillis: to}}, nil, 0)
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -159,7 +159,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	h.agent.ctx = ctx
 	h.agent.state.link, h.agent.state.runner = h, &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}
-	h.agent.state.lastRunner = h.agent.state.runner
+	h.agent.state.lastRunner = h.agent.runnerID()
 	done := loop.Go(ctx, h.agent.loop.Run)
 	_ = h.agent.loop.Do(h.confirm)
 	for _, line := range strings.Split(script, "\n") {
--- a/internal/flow/agent/poll_test.go
+++ b/internal/flow/agent/poll_test.go
@@ -55,7 +55,7 @@
 		Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewFlow(telemetry.NewMetrics()),
 	})
 	a.state.link, a.state.runner = l, &flowpb.Runner{Id: "i-1", Born: 1000}
-	a.state.lastRunner = a.state.runner
+	a.state.lastRunner = a.runnerID()
 	return a, l
 }
 
