Close the connections that are left at the end of a stop all at once

The stack shows main in the Close of one connection, which waits for the goroutine that reads from it, while 27 goroutines wait for the processor and 12 for a lock: net/http closes one connection after another under a lock of its own.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -200,11 +200,13 @@
 	s.aborting = true
 	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
-	_ = s.http.Close()
-	// The HTTP server does not know connections whose first request is refused.
+	// Close waits for the goroutine that reads from its connection, so that they are closed all at once.
+	var closed sync.WaitGroup
 	for _, c := range conns {
-		_ = c.Close()
+		closed.Go(func() { _ = c.Close() })
 	}
+	closed.Wait()
+	_ = s.http.Close()
 	return err
 }
 
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -428,3 +428,64 @@
 	clients.Wait()
 	is.Equal(cut.Load(), int64(0))
 }
+
+const (
+	lateConns = 40
+	// lateClose is how long the Close of a connection waits for the goroutine that reads from it.
+	lateClose = 50 * time.Millisecond
+)
+
+// lateListener accepts connections whose first Close waits.
+type lateListener struct{ net.Listener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &lateConn{Conn: c}, err
+}
+
+type lateConn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *lateConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		time.Sleep(lateClose)
+	}
+	return c.Conn.Close()
+}
+
+// TestStopClosesConnectionsAtOnce guards against a stop that closes one connection after another, each of
+// which waits for a process short of processor time.
+func TestStopClosesConnectionsAtOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	answers := make(chan struct{})
+	handling := make(chan struct{}, lateConns)
+	server := New(Options{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			handling <- struct{}{}
+			<-answers
+		}),
+		Refuse: func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) },
+		Log:    slog.New(slog.DiscardHandler), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
+	})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(lateListener{l}) }()
+	for range lateConns {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: hub\r\n\r\n")
+		is.NoErr(err)
+		<-handling
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	began := time.Now()
+	is.True(server.Stop(ctx, 0) != nil) // the requests are not answered
+	is.True(time.Since(began) < lateConns*lateClose/2)
+	close(answers)
+	is.NoErr(<-served)
+}
