--- a/internal/scenario/judge_test.go
+++ b/internal/scenario/judge_test.go
@@ -61,17 +61,28 @@
 // inForceLine matches the start of an entry, and each revision that an entry puts in force.
 var inForceLine = regexp.MustCompile(`"msg":"entry started"|"msg":"configuration in force".*"revision":([0-9]+)`)
 
-// checkConfiguration returns the entries that went back to a lower revision of the configuration
-// without a restart, according to their logs.
-func (s *system) checkConfiguration() (violations []string) {
+// entryLogs returns the logs of the entries by their names.
+func (s *system) entryLogs() (logs map[string]string, err error) {
+	logs = map[string]string{}
 	for name, p := range s.processes {
 		if p.callersURL == "" {
 			continue
 		}
-		text, err := s.readLog(name)
-		if err != nil {
-			return []string{err.Error()}
+		if logs[name], err = s.readLog(name); err != nil {
+			return nil, err
 		}
+	}
+	return logs, nil
+}
+
+// checkConfiguration returns the entries that went back to a lower revision of the configuration
+// without a restart, according to their logs.
+func (s *system) checkConfiguration() (violations []string) {
+	logs, err := s.entryLogs()
+	if err != nil {
+		return []string{err.Error()}
+	}
+	for name, text := range logs {
 		previous := 0
 		for _, match := range inForceLine.FindAllStringSubmatch(text, -1) {
 			if match[1] == "" {
@@ -130,18 +141,11 @@
 // checkTasks returns violations in the records of the workers: executions that are not allowed, and
 // reservations above the capacity of a worker.
 func (s *system) checkTasks() []string {
-	var logs []string
-	for name, p := range s.processes {
-		if p.callersURL == "" {
-			continue
-		}
-		text, err := s.readLog(name)
-		if err != nil {
-			return []string{err.Error()}
-		}
-		logs = append(logs, text)
+	logs, err := s.entryLogs()
+	if err != nil {
+		return []string{err.Error()}
 	}
-	events := withoutUnheardFinishes(s.workerEvents(), s.document.TaskKinds, lostAttempts(logs))
+	events := withoutUnheardFinishes(s.workerEvents(), s.document.TaskKinds, lostAttempts(slices.Collect(maps.Values(logs))))
 	violations := worker.CheckHistory(events)
 	for name, m := range s.machines {
 		if peak := m.worker.PeakReserved(); !peak.Fits(s.options.capacity) {
