--- a/review/driver-2/cases.go
+++ b/review/driver-2/cases.go
@@ -251,6 +251,39 @@
 	return nil
 }
 
+// timedTakeover has a job that is due some seconds after it was accepted. The entry that decides is killed
+// before.
+func timedTakeover(d *deployment, trouble bool) error {
+	d.configure(route{Name: "renders", Prefix: prefix, Priority: 1})
+	if err := newRunners(d, rack, oneService); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	owner := d.owner()
+	if owner < 0 {
+		return errNoOwner
+	}
+	d.from = (owner + 1) % len(d.entries)
+	due := time.Now().Add(dueAfter)
+	if err := d.submitTimed(prefix, jobID, due, step{Count: 2, CPU: 2000, MemMb: 4000, WorkMs: 1000}); err != nil {
+		return err
+	}
+	trafficEnd := time.Now()
+	time.Sleep(time.Second)
+	if trouble {
+		d.kill(d.entries[owner])
+		time.Sleep(killTime)
+		if err := d.restart(d.entries[owner]); err != nil {
+			return err
+		}
+	}
+	checkUnfinished(d, prefix+jobID, []string{jobID + ".0.0.0", jobID + ".0.0.1"}, trafficEnd.Add(finish), 12*time.Second)
+	return nil
+}
+
+// dueAfter is how long after it is handed in a job is due.
+const dueAfter = 8 * time.Second
+
 // configInTakeover has the operator move a queue to another service while an entry takes over from one that was
 // killed. The store is slow meanwhile.
 func configInTakeover(d *deployment, trouble bool) error {
--- a/review/driver-2/deployment.go
+++ b/review/driver-2/deployment.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -355,6 +356,15 @@
 
 // submit submits a job until it is accepted.
 func (d *deployment) submit(prefix, id string, steps ...step) error {
+	return d.submitBody(prefix, id, steps, nil)
+}
+
+// submitTimed submits a job that runs once, at a time.
+func (d *deployment) submitTimed(prefix, id string, due time.Time, steps ...step) error {
+	return d.submitBody(prefix, id, steps, map[string]any{"repeats": 1, "startAtMs": due.UnixMilli(), "intervalMs": 1000})
+}
+
+func (d *deployment) submitBody(prefix, id string, steps []step, timing map[string]any) error {
 	d.w.mu.Lock()
 	d.w.jobs[id] = steps
 	d.w.mu.Unlock()
@@ -374,8 +384,10 @@
 		}
 		phases = append(phases, phase)
 	}
+	body := map[string]any{"spec": "work", "phases": phases}
+	maps.Copy(body, timing)
 	for try := range 20 {
-		status, _ := d.send((d.from+try)%len(d.entries), http.MethodPost, prefix+id, map[string]any{"spec": "work", "phases": phases})
+		status, _ := d.send((d.from+try)%len(d.entries), http.MethodPost, prefix+id, body)
 		d.w.note("client: POST %s%s -> %d", prefix, id, status)
 		if status/100 == 2 {
 			return nil
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -26,6 +26,7 @@
 	"changed-kind":       changedKind,
 	"advised-inbox":      advisedInbox,
 	"config-in-takeover": configInTakeover,
+	"timed-takeover":     timedTakeover,
 }
 
 var errTimeout = errors.New("the case took too long")
