--- a/review/driver-2/cases.go
+++ b/review/driver-2/cases.go
@@ -19,7 +19,7 @@
 func newRunners(d *deployment, labels func(i int) []string, serviceOf func(i int) string) error {
 	for i := range runnerCount {
 		d.w.runners = append(d.w.runners, &runner{
-			w: d.w, machine: fmt.Sprintf("m%d", i+1), service: serviceOf(i), cpu: 16000, mem: 64000, runs: map[string]*activeRun{}, newest: map[string]uint32{},
+			w: d.w, machine: fmt.Sprintf("m%d", i+1), service: serviceOf(i), cpu: 16000, mem: 64000, runs: map[string]*activeRun{}, newest: map[string]uint32{}, lateStart: map[string]time.Duration{},
 			changed: make(chan struct{}), beats: make(chan struct{}),
 		})
 	}
@@ -113,7 +113,7 @@
 	time.Sleep(3 * time.Second)
 	if trouble {
 		crash(d, d.w.runners[0])
-		time.Sleep(3 * time.Second)
+		time.Sleep(crashTime)
 		restart(d, d.w.runners[0], "i-0101", rack(0), 0)
 	}
 	checkIdle(d, task, time.Now(), 25*time.Second)
@@ -172,7 +172,7 @@
 			crashed = true
 			crash(d, d.w.runners[0])
 			go func() {
-				time.Sleep(time.Second)
+				time.Sleep(crashTime)
 				restart(d, d.w.runners[0], "i-0001", []string{"b", "r1-1"}, firstBeat)
 			}()
 		}
@@ -183,6 +183,7 @@
 
 // Figures of the pages and of the site's disruptions.
 const (
+	crashTime   = 3 * time.Second
 	cutTime     = 5500 * time.Millisecond
 	finish      = 14 * time.Second
 	slowFactor  = 60
@@ -215,7 +216,8 @@
 	}
 }
 
-const firstBeat = 700 * time.Millisecond
+// firstBeat is when a runner sends its first heartbeat after its start, which may take heartbeatMs, 1,100 ms.
+const firstBeat = 550 * time.Millisecond
 
 // advisedInbox has a job on a queue with advice, which an entry accepts while it is cut off from the others.
 func advisedInbox(d *deployment, trouble bool) error {
@@ -281,6 +283,78 @@
 	return nil
 }
 
+// lateStartReborn has a task whose first start gets no answer and is carried out late. Meanwhile the task is
+// done, and its runner is cut off, crashes and starts again under its id.
+func lateStartReborn(d *deployment, trouble bool) error {
+	d.configure(route{Name: "renders", Prefix: prefix, Priority: 1})
+	if err := newRunners(d, rack, oneService); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	task := jobID + ".0.0.0"
+	if trouble {
+		d.w.mu.Lock()
+		for _, r := range d.w.runners {
+			r.lateStart[task] = lateBy
+		}
+		d.w.mu.Unlock()
+	}
+	// The start is one of twenty.
+	for n := range 19 {
+		if err := d.submit(prefix, fmt.Sprintf("5c0e7a21d94b%04x", n), step{Count: 1, CPU: 1000, MemMb: 1000, WorkMs: 500}); err != nil {
+			return err
+		}
+	}
+	submittedAt := time.Now()
+	if err := d.submit(prefix, jobID, step{Count: 1, CPU: 1000, MemMb: 1000, WorkMs: 1000}); err != nil {
+		return err
+	}
+	var on *runner
+	if !await(5*time.Second, func() bool {
+		d.w.mu.Lock()
+		defer d.w.mu.Unlock()
+		for _, r := range d.w.runners {
+			if r.runs[task] != nil {
+				on = r
+			}
+		}
+		return on != nil
+	}) {
+		return errors.New("the task did not start")
+	}
+	d.w.mu.Lock()
+	for _, r := range d.w.runners {
+		delete(r.lateStart, task)
+	}
+	d.w.mu.Unlock()
+	if !await(5*time.Second, func() bool {
+		d.w.mu.Lock()
+		defer d.w.mu.Unlock()
+		return d.w.settled[task]
+	}) {
+		return errors.New("the end of the task was not taken note of")
+	}
+	if trouble {
+		time.Sleep(time.Until(submittedAt.Add(lateBy - cutTime + time.Second)))
+		d.w.mu.Lock()
+		on.cut(true)
+		d.w.mu.Unlock()
+		time.Sleep(time.Second)
+		crash(d, on)
+		time.Sleep(time.Second)
+		restart(d, on, on.id, on.labels, 0)
+		time.Sleep(cutTime - 2*time.Second)
+		d.w.mu.Lock()
+		on.cut(false)
+		d.w.mu.Unlock()
+	}
+	time.Sleep(8 * time.Second)
+	return nil
+}
+
+// lateBy is how late the start is carried out, which may be 2 to 12 s.
+const lateBy = 8 * time.Second
+
 // dueAfter is how long after it is handed in a job is due.
 const dueAfter = 8 * time.Second
 
--- a/review/driver-2/deployment.go
+++ b/review/driver-2/deployment.go
@@ -275,8 +275,11 @@
 		if err = r.listen(); err != nil {
 			return err
 		}
+		if r.link, err = relay.New(r.address, relay.Mode{}); err != nil {
+			return err
+		}
 		zone := zones[i%len(zones)]
-		p, err := d.start("agent", "side", fmt.Sprintf("side-%s-%d", zone, i+1), zone, r.address)
+		p, err := d.start("agent", "side", fmt.Sprintf("side-%s-%d", zone, i+1), zone, r.link.Address())
 		if err != nil {
 			return err
 		}
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -27,6 +27,7 @@
 	"advised-inbox":      advisedInbox,
 	"config-in-takeover": configInTakeover,
 	"timed-takeover":     timedTakeover,
+	"late-start-reborn":  lateStartReborn,
 }
 
 var errTimeout = errors.New("the case took too long")
--- a/review/driver-2/runner.go
+++ b/review/driver-2/runner.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/jasminebay/jasminebay/internal/standin/relay"
 )
 
 const (
@@ -48,6 +50,11 @@
 	lastEnd   uint64
 	changed   chan struct{}
 	server    *http.Server
+	// link lies between the agent and the runner. While it is cut, the heartbeats are lost as well.
+	link  *relay.Relay
+	isCut bool
+	// lateStart is how late the first start of a task is carried out that gets no answer, by task.
+	lateStart map[string]time.Duration
 }
 
 // activeRun is a run of a task on a runner.
@@ -146,6 +153,10 @@
 		}
 		wait = heartbeatInterval
 		r.w.mu.Lock()
+		if r.isCut {
+			r.w.mu.Unlock()
+			continue
+		}
 		body, _ := json.Marshal(map[string]any{
 			"service": r.service, "address": r.address, "zone": "zuerich-a", "version": "v1", "slots": 8, "state": "ready", wire("cold"): 0,
 			"capacity": map[string]any{"cpu": r.cpu, "memMb": r.mem, "gpu": 0}, "labels": r.labels, wire("clock"): r.clock().Milliseconds(), "born": born, "seq": seq,
@@ -219,6 +230,14 @@
 		<-h.Context().Done()
 		return
 	}
+	if late := r.lateStart[q.Task]; late > 0 && h.URL.Path == wire("start") {
+		delete(r.lateStart, q.Task)
+		r.w.note("start of %s %d gets no answer from %s (%s); it is carried out %v later", q.Task, q.Run, r.id, r.machine, late)
+		time.AfterFunc(late, func() { r.carryOutLate(h.URL.Path, q) })
+		r.w.mu.Unlock()
+		<-h.Context().Done()
+		return
+	}
 	status, answer := r.carryOut(h.Context(), h.URL.Path, q)
 	r.w.mu.Unlock()
 	if status == 0 {
@@ -231,6 +250,25 @@
 	_, _ = rw.Write(raw)
 }
 
+// carryOutLate carries out a call whose caller has given up.
+func (r *runner) carryOutLate(path string, q request) {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	if !r.up {
+		r.w.note("late start of %s %d meets no runner on %s", q.Task, q.Run, r.machine)
+		return
+	}
+	status, answer := r.carryOut(context.Background(), path, q)
+	r.w.note("late start of %s %d is carried out by %s (%s): %d %v", q.Task, q.Run, r.id, r.machine, status, answer)
+}
+
+// cut cuts the runner off from its agent, or ends that. The caller holds the lock.
+func (r *runner) cut(isCut bool) {
+	r.w.note("%s is cut off from the machines of the system: %v", r.machine, isCut)
+	r.isCut = isCut
+	r.link.Set(relay.Mode{StallToServer: isCut, StallFromServer: isCut})
+}
+
 func (r *runner) answer() map[string]any {
 	return map[string]any{wire("clock"): r.clock().Milliseconds(), "born": r.born}
 }
@@ -320,6 +358,9 @@
 	if s.Apart > 0 && beside > s.Apart {
 		r.w.breaks("ROUTE: %d tasks of step %s run on %s (%s), and at most %d may", beside, name, r.id, r.machine, s.Apart)
 	}
+	if r.w.settled[task] {
+		r.w.breaks("TWICE: %s starts on %s (%s) after a run has ended done, which was taken note of", task, r.id, r.machine)
+	}
 	for _, other := range r.w.runners {
 		if other != r && other.up && other.runs[task] != nil {
 			r.w.breaks("TWICE: %s runs on %s and on %s", task, r.machine, other.machine)
@@ -334,6 +375,12 @@
 }
 
 func (r *runner) hold(ctx context.Context, q request) (int, map[string]any) {
+	for _, e := range r.ended {
+		if e[0].(uint64) <= q.LastSeen && e[3] == "done" {
+			r.w.note("end done of %s %v on %s (%s) is taken note of", e[1], e[2], r.id, r.machine)
+			r.w.settled[e[1].(string)] = true
+		}
+	}
 	r.ended = slices.DeleteFunc(r.ended, func(e []any) bool { return e[0].(uint64) <= q.LastSeen })
 	if q.Wait > 0 && len(r.ended) == 0 {
 		changed, born := r.changed, r.born
--- a/review/driver-2/world.go
+++ b/review/driver-2/world.go
@@ -45,6 +45,8 @@
 	refusals int
 	// approve decides whether a runner may run a step.
 	approve func(step string, r *runner) bool
+	// settled holds the tasks of which an end done was taken note of.
+	settled map[string]bool
 	// service is the one that runs the queue, if starts on another are judged.
 	service string
 	broken  []string
@@ -74,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &world{began: time.Now(), record: f, jobs: map[string][]step{}, tickets: map[string]issuedTicket{}}, nil
+	return &world{began: time.Now(), record: f, jobs: map[string][]step{}, tickets: map[string]issuedTicket{}, settled: map[string]bool{}}, nil
 }
 
 // note writes a line to the record.
