--- a/review/driver-2/runner.go
+++ b/review/driver-2/runner.go
@@ -456,5 +456,5 @@
 const (
 	decision = 20 * time.Millisecond
 	each     = 5 * time.Millisecond
-	validity = 60 * time.Second
+	validity = 30 * time.Second
 )
