--- a/review/driver-2/cases.go
+++ b/review/driver-2/cases.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/jasminebay/jasminebay/internal/standin/relay"
 )
 
 const (
@@ -352,6 +354,70 @@
 	return nil
 }
 
+// restartedAgent has a start that gets no answer and is carried out late. Its machine is cut off, and agent and
+// runner there are killed and start again.
+func restartedAgent(d *deployment, trouble bool) error {
+	d.configure(route{Name: "renders", Prefix: prefix, Priority: 1})
+	if err := newRunners(d, rack, oneService); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	for n := range 19 {
+		if err := d.submit(prefix, fmt.Sprintf("5c0e7a21d94b%04x", n), step{Count: 1, CPU: 1000, MemMb: 1000, WorkMs: 500}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	task := jobID + ".0.0.0"
+	if trouble {
+		d.w.mu.Lock()
+		for _, r := range d.w.runners {
+			r.lateStart[task] = rebootLateBy
+		}
+		d.w.mu.Unlock()
+	}
+	if err := d.submit(prefix, jobID, step{Count: 1, CPU: 1000, MemMb: 1000, Lasts: true}); err != nil {
+		return err
+	}
+	if !trouble {
+		time.Sleep(10 * time.Second)
+		return nil
+	}
+	at := -1
+	if !await(5*time.Second, func() bool {
+		d.w.mu.Lock()
+		defer d.w.mu.Unlock()
+		at = slices.Index(d.w.runners, d.w.lateOn)
+		return at >= 0
+	}) {
+		return errors.New("the task was not ordered")
+	}
+	on, agent := d.w.runners[at], d.agents[at]
+	cutAt := time.Now()
+	d.w.note("%s and its runner are cut off from the entries, and killed", agent.name)
+	d.network.Set(agent.name, relay.Mode{StallToServer: true, StallFromServer: true})
+	d.kill(agent)
+	d.w.mu.Lock()
+	on.crash()
+	for _, r := range d.w.runners {
+		delete(r.lateStart, task)
+	}
+	d.w.mu.Unlock()
+	time.Sleep(time.Second)
+	restart(d, on, on.id, on.labels, 0)
+	if err := d.restart(agent); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(cutAt.Add(cutTime)))
+	d.w.note("%s is no longer cut off", agent.name)
+	d.network.Set(agent.name, relay.Mode{})
+	time.Sleep(8 * time.Second)
+	return nil
+}
+
+// rebootLateBy is how late the start is carried out by the runner's next life, which may be 2 to 12 s.
+const rebootLateBy = 2500 * time.Millisecond
+
 // lateBy is how late the start is carried out, which may be 2 to 12 s.
 const lateBy = 8 * time.Second
 
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -28,6 +28,7 @@
 	"config-in-takeover": configInTakeover,
 	"timed-takeover":     timedTakeover,
 	"late-start-reborn":  lateStartReborn,
+	"restarted-agent":    restartedAgent,
 }
 
 var errTimeout = errors.New("the case took too long")
--- a/review/driver-2/runner.go
+++ b/review/driver-2/runner.go
@@ -53,7 +53,8 @@
 	// link lies between the agent and the runner. While it is cut, the heartbeats are lost as well.
 	link  *relay.Relay
 	isCut bool
-	// lateStart is how late the first start of a task is carried out that gets no answer, by task.
+	// lateStart is how long the first start of a task is held up on its way to the runner, by task. Its sender
+	// gets no answer, and it is carried out when it arrives.
 	lateStart map[string]time.Duration
 }
 
@@ -232,7 +233,8 @@
 	}
 	if late := r.lateStart[q.Task]; late > 0 && h.URL.Path == wire("start") {
 		delete(r.lateStart, q.Task)
-		r.w.note("start of %s %d gets no answer from %s (%s); it is carried out %v later", q.Task, q.Run, r.id, r.machine, late)
+		r.w.lateOn = r
+		r.w.note("start of %s %d is held up on its way to %s (%s) for %v and gets no answer", q.Task, q.Run, r.id, r.machine, late)
 		time.AfterFunc(late, func() { r.carryOutLate(h.URL.Path, q) })
 		r.w.mu.Unlock()
 		<-h.Context().Done()
@@ -250,7 +252,7 @@
 	_, _ = rw.Write(raw)
 }
 
-// carryOutLate carries out a call whose caller has given up.
+// carryOutLate carries out a call that was held up on its way and whose caller has given up.
 func (r *runner) carryOutLate(path string, q request) {
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
@@ -456,5 +458,5 @@
 const (
 	decision = 20 * time.Millisecond
 	each     = 5 * time.Millisecond
-	validity = 30 * time.Second
+	validity = 3 * time.Second
 )
--- a/review/driver-2/world.go
+++ b/review/driver-2/world.go
@@ -45,6 +45,8 @@
 	refusals int
 	// approve decides whether a runner may run a step.
 	approve func(step string, r *runner) bool
+	// lateOn is the runner that got the start which is carried out late.
+	lateOn *runner
 	// settled holds the tasks of which an end done was taken note of.
 	settled map[string]bool
 	// service is the one that runs the queue, if starts on another are judged.
