--- a/review/driver-2/runner.go
+++ b/review/driver-2/runner.go
@@ -203,7 +203,7 @@
 	}
 	var deadline, wait int64
 	for name, target := range map[string]any{
-		"task": &q.Task, "run": &q.Run, "spec": &q.Spec, "ticket": &q.Ticket, wire("token"): &q.Token, wire("lastSeen"): &q.LastSeen,
+		"task": &q.Task, "run": &q.Run, "spec": &q.Spec, "ticket": &q.Ticket, wire("token"): &q.Token, wire("acknowledged"): &q.LastSeen,
 		wire("deadline"): &deadline, wire("waitMs"): &wait,
 	} {
 		if raw, present := fields[name]; present {
