Store with each job whether its starts need tickets

Cause: the settings of a queue that travel with a job, its terms, left out whether the admission service must issue tickets. An owner that builds a job's queue from the terms took it for one without advice: for every job of the inbox, for a queue that the entry knows before the owner, and after a takeover for a queue that was removed. Only the next configuration that held the queue corrected it.

Ruled out: the admission service (the owner never asked it, the record has no call), the cut (the job of the same queue that was submitted before it ran), the store's answer (the item was read within 5 ms).

Change: the terms hold it.

--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -37,11 +37,12 @@
 // Terms returns the queue settings that are stored with each job, for use after the queue has
 // been removed from the configuration.
 func (q Queue) Terms() *flowpb.Terms {
-	return &flowpb.Terms{Service: q.Service, Priority: int32(q.Priority), MaxAttempts: uint32(q.MaxAttempts), Stretch: q.Stretch, TargetMillis: q.Target.Milliseconds()}
+	return &flowpb.Terms{Service: q.Service, Priority: int32(q.Priority), MaxAttempts: uint32(q.MaxAttempts), Stretch: q.Stretch, TargetMillis: q.Target.Milliseconds(), Advised: q.Advised}
 }
 
+// queueFromTerms is the inverse of Queue.Terms.
 func queueFromTerms(name string, t *flowpb.Terms) Queue {
-	return Queue{Name: name, Service: t.GetService(), Priority: int(t.GetPriority()), MaxAttempts: int(t.GetMaxAttempts()), Stretch: t.GetStretch(), Target: saturate.Millis(t.GetTargetMillis())}
+	return Queue{Name: name, Service: t.GetService(), Priority: int(t.GetPriority()), MaxAttempts: int(t.GetMaxAttempts()), Stretch: t.GetStretch(), Target: saturate.Millis(t.GetTargetMillis()), Advised: t.GetAdvised()}
 }
 
 // job is an accepted job.
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"log/slog"
@@ -23,13 +24,15 @@
 
 // harness runs an engine with an in-memory store and fake runners, as a script directs.
 type harness struct {
-	t        *testing.T
-	engine   *Engine
-	epoch    uint64
-	now      Timestamp
-	store    *testStore
-	ring     *joblog.Ring
-	runners  map[string]*fakeRunner
+	t       *testing.T
+	engine  *Engine
+	epoch   uint64
+	now     Timestamp
+	store   *testStore
+	ring    *joblog.Ring
+	runners map[string]*fakeRunner
+	// queues are those of the configuration in force.
+	queues   map[string]Queue
 	lastCall uint64
 	// holdsCommits is set while a commit gets no answer, heldBatch is its content.
 	holdsCommits bool
@@ -50,12 +53,16 @@
 	dropsOrders bool
 	// pageLength is how many ends a list holds, or 0 for all.
 	pageLength int
+	// wantsTickets is set if the runner refuses starts without a ticket; refusals are those that it has not
+	// reported.
+	wantsTickets bool
+	refusals     []*flowpb.StartResult
 }
 
 // TestEngine runs the scripts in testdata/engine.
 func TestEngine(t *testing.T) {
 	datadriven.Walk(t, "testdata/engine", func(t *testing.T, path string) {
-		h := &harness{t: t, now: Timestamp{Monotonic: time.Hour, UnixMillis: 1_000_000}, store: newTestStore(), runners: map[string]*fakeRunner{}}
+		h := newHarness(t)
 		h.restart(0)
 		h.engine.SetGrantUntil(h.now.Monotonic + time.Hour)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -66,6 +73,15 @@
 	})
 }
 
+func newHarness(t *testing.T) *harness {
+	urgent := testQueue
+	urgent.Name, urgent.Priority = "urgent", 0
+	return &harness{
+		t: t, now: Timestamp{Monotonic: time.Hour, UnixMillis: 1_000_000}, store: newTestStore(), runners: map[string]*fakeRunner{},
+		queues: map[string]Queue{testQueue.Name: testQueue, urgent.Name: urgent},
+	}
+}
+
 func (h *harness) printf(format string, args ...any) {
 	h.output = append(h.output, fmt.Sprintf(format, args...))
 }
@@ -79,9 +95,7 @@
 	if h.ring, err = h.store.restore(h.engine, h.now); err != nil {
 		h.t.Fatal(err)
 	}
-	urgent := testQueue
-	urgent.Name, urgent.Priority = "urgent", 0
-	h.engine.Configure(map[string]Queue{testQueue.Name: testQueue, urgent.Name: urgent})
+	h.engine.Configure(h.queues)
 }
 
 func (h *harness) runCommand(d *datadriven.TestData) {
@@ -97,12 +111,21 @@
 	case "submit":
 		h.submit(d)
 	case "hand":
-		h.engine.ProcessInboxItem(id, &flowpb.Handed{Job: &flowpb.Job{Id: id, Queue: testQueue.Name, Terms: testQueue.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}}, h.now)
+		h.engine.ProcessInboxItem(id, &flowpb.Handed{Job: h.oneTask(d, id)}, h.now)
 	case "accept":
 		// The call is not answered before the next commit, so that a script can make the store
 		// fail before.
 		h.lastCall++
-		h.engine.Submit(h.lastCall, &flowpb.Job{Id: id, Queue: testQueue.Name, Terms: testQueue.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}, h.now)
+		h.engine.Submit(h.lastCall, h.oneTask(d, id), h.now)
+	case "configure":
+		h.queues = h.readQueues(d)
+		h.engine.Configure(h.queues)
+		h.commitAll()
+	case "advise":
+		h.advise()
+		h.commitAll()
+	case "terms":
+		h.printTerms(id)
 	case "store-fails":
 		h.engine.SetStoreFailing()
 		h.carryOutEffects()
@@ -222,6 +245,62 @@
 	}
 }
 
+// oneTask returns a job of one task as an entry accepts it, with the terms of the queue as the entry knows it.
+func (h *harness) oneTask(d *datadriven.TestData, id string) *flowpb.Job {
+	q := testQueue
+	if d.Input != "" {
+		for _, configured := range h.readQueues(d) {
+			q = configured
+		}
+	}
+	return &flowpb.Job{Id: id, Queue: q.Name, Terms: q.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}
+}
+
+// readQueues reads a queue from each line: its name, and what differs from testQueue.
+func (h *harness) readQueues(d *datadriven.TestData) map[string]Queue {
+	queues := map[string]Queue{}
+	for line := range strings.Lines(d.Input) {
+		fields := strings.Fields(line)
+		q := testQueue
+		q.Name = fields[0]
+		for _, field := range fields[1:] {
+			key, value, _ := strings.Cut(field, "=")
+			switch key {
+			case "service":
+				q.Service = value
+			case "attempts":
+				_, _ = fmt.Sscan(value, &q.MaxAttempts)
+			case "advised":
+				q.Advised = true
+			default:
+				h.t.Fatalf("unknown field %s", key)
+			}
+		}
+		queues[q.Name] = q
+	}
+	return queues
+}
+
+// advise has the admission service approve all runners that it is asked about.
+func (h *harness) advise() {
+	for _, request := range h.engine.ApprovalRequests(h.now) {
+		h.printf("asked about %s on %s\n", request.Step, strings.Join(request.Runners, " "))
+		var approvals []driver.Approval
+		for _, id := range request.Runners {
+			approvals = append(approvals, driver.Approval{Runner: id, Ticket: "t-" + id})
+		}
+		h.engine.HandleApprovals(request, approvals, time.Minute, h.now)
+	}
+}
+
+// printTerms prints the terms that are stored with a job.
+func (h *harness) printTerms(id string) {
+	segments := slices.SortedFunc(maps.Values(h.store.segments), func(a, b *flowpb.Segment) int { return cmp.Compare(a.GetSequence(), b.GetSequence()) })
+	jobs, _ := joblog.Read(segments, testRingLength)
+	q := queueFromTerms(jobs[id].Job.GetQueue(), jobs[id].Job.GetTerms())
+	h.printf("%s service=%s attempts=%d advised=%t\n", q.Name, q.Service, q.MaxAttempts, q.Advised)
+}
+
 func (h *harness) addRunner(d *datadriven.TestData, name string) {
 	cpu, rack := 8000, "rack-1"
 	if d.HasArg("cpu") {
@@ -230,7 +309,7 @@
 	if d.HasArg("rack") {
 		d.ScanArgs(h.t, "rack", &rack)
 	}
-	h.runners[name] = &fakeRunner{running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + name, Born: h.now.UnixMillis, Service: "hub", Labels: []string{"a", rack}, MilliCpu: int64(cpu), MemoryMb: 64_000}}
+	h.runners[name] = &fakeRunner{wantsTickets: d.HasArg("tickets"), running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + name, Born: h.now.UnixMillis, Service: "hub", Labels: []string{"a", rack}, MilliCpu: int64(cpu), MemoryMb: 64_000}}
 	h.connect(name)
 	h.commitAll()
 }
@@ -257,7 +336,8 @@
 	if r.pageLength > 0 && len(ends) > r.pageLength {
 		ends, complete = ends[:r.pageLength], false
 	}
-	report := &flowpb.Report{Token: r.token, Sequence: r.reportSequence, Runner: r.info, Listed: complete, Ends: ends}
+	report := &flowpb.Report{Token: r.token, Sequence: r.reportSequence, Runner: r.info, Listed: complete, Ends: ends, Results: r.refusals}
+	r.refusals = nil
 	for _, run := range r.running {
 		report.Running = append(report.Running, run)
 	}
@@ -411,6 +491,11 @@
 	r.acknowledgedEnd = max(r.acknowledgedEnd, o.GetSettled())
 	r.ends = slices.DeleteFunc(r.ends, func(e *flowpb.End) bool { return e.GetNumber() <= r.acknowledgedEnd })
 	for _, s := range o.GetStarts() {
+		if r.wantsTickets && s.GetTicket() == "" {
+			h.printf("%s refuses %s run %d without a ticket\n", node, s.GetTask(), s.GetRun())
+			r.refusals = append(r.refusals, &flowpb.StartResult{Task: s.GetTask(), Run: s.GetRun(), Outcome: flowpb.StartOutcome_START_OUTCOME_TICKET})
+			continue
+		}
 		h.printf("%s starts %s run %d%s\n", node, s.GetTask(), s.GetRun(), fromCheckpoint(s.GetCheckpoint()))
 		if !r.dropsOrders {
 			r.running[driver.RunID{Task: s.GetTask(), Run: s.GetRun()}] = &flowpb.Run{Task: s.GetTask(), Run: s.GetRun()}
