Decide by the newer of a job's terms and the configured queue

What callers would see: jobs that run on the service that an older configuration names, or wait without tickets. A job that was submitted was taken by the owner's configuration, even where the entry's was newer.

Cause: each path by which a job reaches the owner chose between the two sources by itself, and neither source said how old it was.

Change: queues and terms carry the version of their configuration, and Engine.queueFor takes the newer one, for jobs that are submitted and for those of the inbox. Configure no longer replaces newer terms.

Tests, each failed before: TestEngine/inbox-configured (started on the old service), newer-than-owner (two jobs of an entry with a newer configuration weren't started).

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -68,11 +68,7 @@
 		e.options.Log.Info("job refused", "job", def.GetId(), "queue", def.GetQueue(), "status", status.String(), "reason", reason, "retry-after-ms", after.Milliseconds(), "open", len(e.openJobs))
 		e.reply(Reply{Call: call, Status: status, RetryAfter: after, Detail: reason})
 	}
-	q, known := e.queues[def.GetQueue()]
-	if !known {
-		// The entry may have a newer configuration than this process.
-		q = queueFromTerms(def.GetQueue(), def.GetTerms())
-	}
+	q := e.queueFor(def)
 	if err := Validate(def); err != nil {
 		refuse(flowpb.Status_STATUS_INVALID, 0, err.Error())
 		return
@@ -95,6 +91,16 @@
 	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.criticalPathMillis(), "open", len(e.openJobs))
 }
 
+// queueFor returns the queue of a job, as it is configured or as the job's terms describe it, whichever is newer. The
+// terms are those of an entry, which may know of a configuration before or after this process.
+func (e *Engine) queueFor(def *flowpb.Job) Queue {
+	stored := queueFromTerms(def.GetQueue(), def.GetTerms())
+	if configured, known := e.queues[stored.Name]; known && configured.Version >= stored.Version {
+		return configured
+	}
+	return stored
+}
+
 // addJob adds an accepted job. A recurring job begins its first occurrence when that is due, any
 // other job at once.
 func (e *Engine) addJob(j *job, first *occurrence, now Timestamp) {
@@ -134,10 +140,9 @@
 		e.staleInboxItems = append(e.staleInboxItems, name)
 		return
 	}
-	if def.GetTerms() == nil {
-		def.Terms = &flowpb.Terms{}
-	}
-	j := &job{def: def, queue: queueFromTerms(def.GetQueue(), def.GetTerms()), inboxItems: []string{name}}
+	q := e.queueFor(def)
+	def.Terms = q.Terms()
+	j := &job{def: def, queue: q, inboxItems: []string{name}}
 	j.arrivedAt = now.Monotonic - saturate.Millis(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))
 	e.options.Log.Info("job accepted from inbox", "job", j.id(), "queue", def.GetQueue(), "age-ms", (now.Monotonic - j.arrivedAt).Milliseconds())
 	e.addJob(j, newOccurrence(j, 0, now.Monotonic), now)
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -118,9 +118,6 @@
 // job's assigned runs are assumed to be live until the runner reports otherwise, or until the longest
 // lease that an earlier owner may have granted has expired.
 func (e *Engine) Restore(def *flowpb.Job, p, state *flowpb.Progress, separateRecord bool, now Timestamp) error {
-	if def.GetTerms() == nil {
-		def.Terms = &flowpb.Terms{}
-	}
 	j, err := restore(def, p, now.Monotonic, func(t *task, a *flowpb.Assignment) {
 		w := e.worker(a.GetNode())
 		r := &run{task: t, number: a.GetRun(), phase: phaseSent, batched: true, sentAt: now.Monotonic, reserved: t.step.resources(), pace: 100, milliCPU: t.step.def.GetMilliCpu(), incarnation: &flowpb.Runner{Id: a.GetRunner(), Born: a.GetBorn()}}
@@ -149,11 +146,12 @@
 	return nil
 }
 
-// Configure sets the queues. Accepted jobs of queues that were removed keep their stored terms.
+// Configure sets the queues. Accepted jobs of queues that were removed keep their stored terms, and so do jobs that were
+// accepted under a newer configuration.
 func (e *Engine) Configure(queues map[string]Queue) {
 	e.queues = queues
 	for _, j := range e.openJobs {
-		if q, known := queues[j.queue.Name]; known {
+		if q, known := queues[j.queue.Name]; known && q.Version >= j.queue.Version {
 			j.queue = q
 		}
 	}
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -32,17 +32,20 @@
 	Target  time.Duration
 	// Advised is set if the admission service must issue a ticket for each start.
 	Advised bool
+	// Version is that of the configuration which holds these settings. Entries learn of a configuration at
+	// different times.
+	Version uint64
 }
 
 // Terms returns the queue settings that are stored with each job, for use after the queue has
 // been removed from the configuration.
 func (q Queue) Terms() *flowpb.Terms {
-	return &flowpb.Terms{Service: q.Service, Priority: int32(q.Priority), MaxAttempts: uint32(q.MaxAttempts), Stretch: q.Stretch, TargetMillis: q.Target.Milliseconds(), Advised: q.Advised}
+	return &flowpb.Terms{Service: q.Service, Priority: int32(q.Priority), MaxAttempts: uint32(q.MaxAttempts), Stretch: q.Stretch, TargetMillis: q.Target.Milliseconds(), Advised: q.Advised, Version: q.Version}
 }
 
 // queueFromTerms is the inverse of Queue.Terms.
 func queueFromTerms(name string, t *flowpb.Terms) Queue {
-	return Queue{Name: name, Service: t.GetService(), Priority: int(t.GetPriority()), MaxAttempts: int(t.GetMaxAttempts()), Stretch: t.GetStretch(), Target: saturate.Millis(t.GetTargetMillis()), Advised: t.GetAdvised()}
+	return Queue{Name: name, Service: t.GetService(), Priority: int(t.GetPriority()), MaxAttempts: int(t.GetMaxAttempts()), Stretch: t.GetStretch(), Target: saturate.Millis(t.GetTargetMillis()), Advised: t.GetAdvised(), Version: t.GetVersion()}
 }
 
 // job is an accepted job.
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -272,6 +272,8 @@
 				_, _ = fmt.Sscan(value, &q.MaxAttempts)
 			case "advised":
 				q.Advised = true
+			case "version":
+				_, _ = fmt.Sscan(value, &q.Version)
 			default:
 				h.t.Fatalf("unknown field %s", key)
 			}
