Store a job's terms again when its queue is configured anew

What callers would see (LOST, ROUTE): a queue changes while its jobs wait, then its route is removed, then another entry takes over. Its jobs go on under the settings with which they were accepted: on another service, with another number of attempts, or without the tickets that every start of them needs by now.

Cause: the terms were stored when the job was accepted and never again, though Configure changed the queue that the owner went by.

Change: Engine.setQueue stores the terms again with the job's next full record. Settings that are the same but for the version cost no write, so that a configuration that adds routes costs none.

Tests, each failed before: TestEngine/removed-changed ("service=press attempts=2 advised=false" for "service=hub attempts=5 advised=true"), newer-than-owner's last step. internal/flow and internal/experiment pass.

--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/saturate"
@@ -150,14 +152,30 @@
 // accepted under a newer configuration.
 func (e *Engine) Configure(queues map[string]Queue) {
 	e.queues = queues
-	for _, j := range e.openJobs {
+	for _, id := range slices.Sorted(maps.Keys(e.openJobs)) {
+		j := e.openJobs[id]
 		if q, known := queues[j.queue.Name]; known && q.Version >= j.queue.Version {
-			j.queue = q
+			e.setQueue(j, q)
 		}
 	}
 	e.placementDue = true
 }
 
+// setQueue puts newer settings of a job's queue in force. Settings that differ from those before are stored with the
+// job, since they apply once the queue has been removed.
+func (e *Engine) setQueue(j *job, q Queue) {
+	before := j.queue
+	j.queue = q
+	if before.Version = q.Version; before == q {
+		return
+	}
+	// A commit may be writing the job as it was.
+	j.def = proto.CloneOf(j.def)
+	j.def.Terms = q.Terms()
+	j.recordDue = true
+	e.markDirty(j)
+}
+
 // SetGrantUntil extends the time, on the monotonic clock, until which no other process can own
 // the cell. It never shortens it.
 func (e *Engine) SetGrantUntil(until time.Duration) { e.grantUntil = max(e.grantUntil, until) }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -38,7 +38,7 @@
 }
 
 // Terms returns the queue settings that are stored with each job, for use after the queue has
-// been removed from the configuration.
+// been removed from the configuration. They are those that were last in force.
 func (q Queue) Terms() *flowpb.Terms {
 	return &flowpb.Terms{Service: q.Service, Priority: int32(q.Priority), MaxAttempts: uint32(q.MaxAttempts), Stretch: q.Stretch, TargetMillis: q.Target.Milliseconds(), Advised: q.Advised, Version: q.Version}
 }
