Give a new owner the configuration that came while it loaded the cell

Cause: Node.Apply passes a configuration to the owner in this process, of which there is none while the cell is being loaded; the queues that the load began with had been read before. So the owner missed what came in between. Two versions could also have reached the owner in the wrong order, as each was passed on outside any lock; not seen.

Change: a new owner gets the configuration in one way, from Node.beginOwning, after the load and before it can be called. It and Apply pass on the one that is in force by then, one at a time.

--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -83,7 +83,10 @@
 type Node struct {
 	options   Options
 	documents documentHolder
-	mu        sync.Mutex
+	// configuring is held while a configuration is passed to the owner in this process, so that the newest one is
+	// passed last and a new owner misses none.
+	configuring sync.Mutex
+	mu          sync.Mutex
 	// localOwner is the owner in this process, client the connection to an owner in another one.
 	localOwner  *owner.Owner
 	client      *client
@@ -115,14 +118,24 @@
 		return
 	}
 	n.options.Log.Info("configuration in force", "version", d.Version, "routes", len(d.Routes))
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
 	n.mu.Lock()
 	local := n.localOwner
 	n.mu.Unlock()
 	if local != nil {
-		local.Configure(d.queues())
+		local.Configure(n.queues())
 	}
 }
 
+// beginOwning makes calls reach a new owner, which gets the configuration that is in force by now before them.
+func (n *Node) beginOwning(local *owner.Owner) {
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
+	local.Configure(n.queues())
+	n.setLocalOwner(local)
+}
+
 // Run follows or becomes the owner of the cell until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -364,12 +377,12 @@
 		Cell: n.options.Cell, FencedStore: fenced, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease, MaxLease: n.options.MaxLease,
 		Retention: n.options.Retention, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
 	}
-	local, err := owner.New(ctx, opts, n.queues())
+	local, err := owner.New(ctx, opts)
 	if err != nil {
 		n.options.Log.Warn("cell acquired but not loaded", "cell", n.options.Cell, "error", err.Error())
 		return
 	}
-	n.setLocalOwner(local)
+	n.beginOwning(local)
 	n.options.Metrics.SetOwner(true)
 	watchCtx, stop := context.WithCancel(ctx)
 	announceDone := loop.Go(watchCtx, func(ctx context.Context) { n.announce(ctx, before, fenced.Record()) })
--- a/internal/flow/owner/compacted_test.go
+++ b/internal/flow/owner/compacted_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
-	"github.com/jasminebay/jasminebay/internal/flow/engine"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
@@ -62,7 +61,7 @@
 					Cell: "c", FencedStore: f, Store: s, Clock: clock, Lease: 4 * time.Second, Retention: time.Hour,
 					Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewFlow(telemetry.NewMetrics()),
 				}
-				o, err := New(t.Context(), opts, map[string]engine.Queue{})
+				o, err := New(t.Context(), opts)
 				is.NoErr(err)
 				is.NoErr(EnqueueJob(t.Context(), s, "c", &flowpb.Job{Id: id, Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1}}}))
 				is.NoErr(EnqueueCancel(t.Context(), s, "c", id))
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -99,8 +99,8 @@
 	stopped         bool
 }
 
-// New loads a cell that has been acquired. Run must be called next.
-func New(ctx context.Context, opts Options, queues map[string]engine.Queue) (o *Owner, err error) {
+// New loads a cell that has been acquired. Configure and Run must be called next.
+func New(ctx context.Context, opts Options) (o *Owner, err error) {
 	o = &Owner{
 		options: opts, fenced: opts.FencedStore, loop: loop.New(), commits: make(chan commitRequest, 1),
 		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, MaxLease: opts.MaxLease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
@@ -131,7 +131,6 @@
 		}
 	}
 	o.inboxRevision = stored.Revision
-	o.engine.Configure(queues)
 	stats := o.engine.Stats()
 	opts.Log.Info("cell loaded", "cell", opts.Cell, "epoch", opts.FencedStore.Epoch(), "jobs", stats.Jobs, "open", stats.Open, "runs", stats.Runs, "took-ms", (opts.Clock() - began).Milliseconds())
 	return o, nil
@@ -360,7 +359,8 @@
 	}
 }
 
-// Configure puts a configuration of the queues in force.
+// Configure puts a configuration of the queues in force. One that is set before Run is in force from the first
+// decision on.
 func (o *Owner) Configure(queues map[string]engine.Queue) {
 	o.loop.Post(func() {
 		o.engine.Configure(queues)
