Store a recurring job in full when it is accepted

Cause: a job's full record was written if the number of its occurrences had changed since the last one. A job without an occurrence was in no record, and the next owner passed over its state ("state of a job without its record skipped").

Change: the first record of a job is a full one, whatever it holds.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -102,8 +102,9 @@
 }
 
 // addJob adds an accepted job. A recurring job begins its first occurrence when that is due, any
-// other job at once.
+// other job at once. The job is stored in full with its acceptance, also while it has no occurrence yet.
 func (e *Engine) addJob(j *job, first *occurrence, now Timestamp) {
+	j.recordDue = true
 	if j.def.GetOccurrences() == 0 {
 		first.advance(now.Monotonic)
 		j.occurrences = append(j.occurrences, first)
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -253,7 +253,20 @@
 			q = configured
 		}
 	}
-	return &flowpb.Job{Id: id, Queue: q.Name, Terms: q.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}
+	job := &flowpb.Job{Id: id, Queue: q.Name, Terms: q.Terms(), Steps: []*flowpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 1}}}
+	h.setOccurrences(d, job)
+	return job
+}
+
+// setOccurrences makes a job recurring. Its first occurrence is due after in-ms, the others 1 s after each other.
+func (h *harness) setOccurrences(d *datadriven.TestData, job *flowpb.Job) {
+	if !d.HasArg("occurrences") {
+		return
+	}
+	count, millis := 0, 0
+	d.ScanArgs(h.t, "occurrences", &count)
+	d.ScanArgs(h.t, "in-ms", &millis)
+	job.Occurrences, job.StartUnixMillis, job.IntervalMillis = uint32(count), h.now.UnixMillis+int64(millis), 1000
 }
 
 // readQueues reads a queue from each line: its name, and what differs from testQueue.
@@ -360,6 +373,7 @@
 		}
 		job.Steps = append(job.Steps, step)
 	}
+	h.setOccurrences(d, job)
 	job.Terms = testQueue.Terms()
 	h.lastCall++
 	h.engine.Submit(h.lastCall, job, h.now)
