Ask for tickets for runners with room while those with a ticket have none

Cause: a step with any ticket that had not expired was asked for no others, whoever the ticket was for.

Change: a ticket names the life of the runner that it is for. A request names the runners without a ticket, as long as those with one that may be used now have no room for all tasks that wait; once any may be used, only runners with room are added, so that a full system asks for nothing.

Tests, each failed before: TestEngine/ticket-of-lost-runner, ticket-of-other-service, ticket-of-earlier-life, ticket-without-room.

--- a/internal/flow/engine/advice.go
+++ b/internal/flow/engine/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
 const (
@@ -23,22 +24,29 @@
 	Step    string
 	Runners []string
 	step    *step
+	// incarnations are those of the runners, by id.
+	incarnations map[string]*flowpb.Runner
 }
 
 // ApprovalRequests returns the requests to send to the admission service now, the most urgent
 // first.
 func (e *Engine) ApprovalRequests(now Timestamp) (requests []ApprovalRequest) {
+	var candidates []*candidate
 	for _, j := range e.openJobs {
 		if !j.queue.Advised {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if !o.done && s.remaining > 0 && s.ready && s.hasPending(now.Monotonic) && now.Monotonic-s.approvalRequestedAt > approvalRetryInterval && !s.hasTicket(now.Monotonic) {
-					if request := e.approvalRequest(s, now.Monotonic); len(request.Runners) > 0 {
-						s.approvalRequestedAt = now.Monotonic
-						requests = append(requests, request)
-					}
+				if o.done || s.remaining == 0 || !s.ready || now.Monotonic-s.approvalRequestedAt <= approvalRetryInterval || !s.hasPending(now.Monotonic) {
+					continue
+				}
+				if candidates == nil {
+					candidates = e.candidates(now.Monotonic)
+				}
+				if request := newApprovalRequest(s, candidates, now.Monotonic); len(request.Runners) > 0 {
+					s.approvalRequestedAt = now.Monotonic
+					requests = append(requests, request)
 				}
 			}
 		}
@@ -49,30 +57,51 @@
 	return requests
 }
 
-// approvalRequest names the eligible runners with the most free processors, without those that
-// were denied before.
-func (e *Engine) approvalRequest(s *step, now time.Duration) ApprovalRequest {
-	request := ApprovalRequest{Step: s.name(), step: s}
-	candidates := e.candidates(now)
-	slices.SortStableFunc(candidates, func(a, b *candidate) int { return int(b.free.MilliCPU() - a.free.MilliCPU()) })
+// newApprovalRequest names the runners with the most free processors that may run the step and for which it has no ticket,
+// without those that were denied before. It names none while the runners with a ticket have room for all tasks that wait,
+// and while there are any, only others that have room themselves.
+func newApprovalRequest(s *step, candidates []*candidate, now time.Duration) ApprovalRequest {
+	request := ApprovalRequest{Step: s.name(), step: s, incarnations: map[string]*flowpb.Runner{}}
+	waiting, hasTickets := s.countPending(now), false
+	var others []*candidate
 	for _, c := range candidates {
-		id := c.worker.info.GetId()
-		if len(request.Runners) < maxApprovalRunners && c.worker.info.GetService() == s.job().queue.Service && c.worker.hasLabel(s.def.GetRequiresLabel()) && !s.deniedRunners[id] {
-			request.Runners = append(request.Runners, id)
+		switch {
+		case !s.suits(c.worker):
+		case s.hasTicket(c.worker, now):
+			hasTickets = true
+			waiting -= s.countFitting(c, waiting)
+		case !s.deniedRunners[c.worker.info.GetId()]:
+			others = append(others, c)
+		}
+	}
+	if waiting <= 0 {
+		return request
+	}
+	slices.SortStableFunc(others, func(a, b *candidate) int { return cmp.Compare(b.free.MilliCPU(), a.free.MilliCPU()) })
+	for _, c := range others {
+		if len(request.Runners) < maxApprovalRunners && (!hasTickets || s.countFitting(c, 1) > 0) {
+			request.Runners = append(request.Runners, c.worker.info.GetId())
+			request.incarnations[c.worker.info.GetId()] = c.worker.info
 		}
 	}
 	return request
 }
 
-// hasTicket reports whether the step has a ticket that has not expired, and drops expired ones.
-func (s *step) hasTicket(now time.Duration) bool {
-	for id, t := range s.tickets {
-		if now < t.expiresAt {
-			return true
-		}
-		delete(s.tickets, id)
+// countFitting returns how many more tasks of the step have room on a candidate, at most limit.
+func (s *step) countFitting(c *candidate, limit int) (n int) {
+	if perRunner := int(s.def.GetMaxPerRunner()); perRunner > 0 {
+		limit = min(limit, perRunner-c.worker.countRuns(s))
+	}
+	for free := c.free; n < limit && s.resources().Fits(free); n++ {
+		free = free.Minus(s.resources())
 	}
-	return false
+	return n
+}
+
+// hasTicket reports whether the step has a ticket for the present incarnation of a worker's runner that has not expired.
+func (s *step) hasTicket(w *worker, now time.Duration) bool {
+	t, known := s.tickets[w.info.GetId()]
+	return known && now < t.expiresAt && sameIncarnation(t.incarnation, w.info)
 }
 
 // HandleApprovals applies the response to a request sent at requestedAt. Runners that were not
@@ -87,7 +116,7 @@
 	}
 	for _, a := range approvals {
 		delete(s.deniedRunners, a.Runner)
-		s.tickets[a.Runner] = ticket{value: a.Ticket, expiresAt: requestedAt.Monotonic + valid - ticketExpiryMargin}
+		s.tickets[a.Runner] = ticket{value: a.Ticket, expiresAt: requestedAt.Monotonic + valid - ticketExpiryMargin, incarnation: request.incarnations[a.Runner]}
 	}
 	e.options.Log.Info("start approvals received", "step", request.Step, "asked", len(request.Runners), "approved", len(approvals), "valid-ms", valid.Milliseconds())
 	e.placementDue = true
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -159,10 +159,11 @@
 	baseline baseHeadroom
 }
 
-// ticket allows starts on one runner until it expires.
+// ticket allows starts on one incarnation of a runner until it expires.
 type ticket struct {
-	value     string
-	expiresAt time.Duration
+	value       string
+	expiresAt   time.Duration
+	incarnation *flowpb.Runner
 }
 
 func (s *step) job() *job { return s.occurrence.job }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -265,29 +265,32 @@
 	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now)
 }
 
+// suits reports whether a worker has the service and the label that the step requires.
+func (s *step) suits(w *worker) bool {
+	return w.info.GetService() == s.job().queue.Service && w.hasLabel(s.def.GetRequiresLabel())
+}
+
 // eligible reports whether a task of the step may run on a worker if there is room. It checks the
 // service, the required label, the ticket of the admission service and the limit of tasks per runner.
 func (e *Engine) eligible(s *step, w *worker, now time.Duration) bool {
-	if w.info.GetService() != s.job().queue.Service || !w.hasLabel(s.def.GetRequiresLabel()) {
+	if !s.suits(w) {
 		return false
 	}
-	if s.job().queue.Advised {
-		if t, hasTicket := s.tickets[w.info.GetId()]; !hasTicket || now >= t.expiresAt {
-			return false
-		}
+	if s.job().queue.Advised && !s.hasTicket(w, now) {
+		return false
 	}
-	if limit := s.def.GetMaxPerRunner(); limit > 0 {
-		running := uint32(0)
-		for _, r := range w.runs.list {
-			if r.task.step == s {
-				running++
-			}
-		}
-		if running >= limit {
-			return false
+	limit := int(s.def.GetMaxPerRunner())
+	return limit == 0 || w.countRuns(s) < limit
+}
+
+// countRuns returns the number of live runs of a step.
+func (w *worker) countRuns(s *step) (n int) {
+	for _, r := range w.runs.list {
+		if r.task.step == s {
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 const (
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -32,7 +32,9 @@
 	ring    *joblog.Ring
 	runners map[string]*fakeRunner
 	// queues are those of the configuration in force.
-	queues   map[string]Queue
+	queues map[string]Queue
+	// advised reports whether starts of a job need tickets. It may be nil.
+	advised  func(job string) bool
 	lastCall uint64
 	// holdsCommits is set while a commit gets no answer, heldBatch is its content.
 	holdsCommits bool
@@ -57,6 +59,8 @@
 	// reported.
 	wantsTickets bool
 	refusals     []*flowpb.StartResult
+	// before are the runs that it had at an earlier time.
+	before []driver.RunID
 }
 
 // TestEngine runs the scripts in testdata/engine.
@@ -89,13 +93,19 @@
 // restart replaces the engine by one that is restored from the store, and that has acquired the cell
 // some time ago.
 func (h *harness) restart(ago time.Duration) {
+	if err := h.tryRestart(ago); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+func (h *harness) tryRestart(ago time.Duration) (err error) {
 	h.epoch++
 	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
-	var err error
 	if h.ring, err = h.store.restore(h.engine, h.now); err != nil {
-		h.t.Fatal(err)
+		return err
 	}
 	h.engine.Configure(h.queues)
+	return nil
 }
 
 func (h *harness) runCommand(d *datadriven.TestData) {
@@ -111,7 +121,7 @@
 	case "submit":
 		h.submit(d)
 	case "hand":
-		h.engine.ProcessInboxItem(id, &flowpb.Handed{Job: h.oneTask(d, id)}, h.now)
+		h.hand(id, &flowpb.Handed{Job: h.oneTask(d, id)})
 	case "accept":
 		// The call is not answered before the next commit, so that a script can make the store
 		// fail before.
@@ -296,6 +306,12 @@
 	return queues
 }
 
+// hand writes an item to the inbox, from which it reaches the owner.
+func (h *harness) hand(name string, item *flowpb.Handed) {
+	h.store.inbox[name] = item
+	h.engine.ProcessInboxItem(name, proto.CloneOf(item), h.now)
+}
+
 // advise has the admission service approve all runners that it is asked about.
 func (h *harness) advise() {
 	for _, request := range h.engine.ApprovalRequests(h.now) {
@@ -317,14 +333,17 @@
 }
 
 func (h *harness) addRunner(d *datadriven.TestData, name string) {
-	cpu, rack := 8000, "rack-1"
+	cpu, rack, service := 8000, "rack-1", "hub"
 	if d.HasArg("cpu") {
 		d.ScanArgs(h.t, "cpu", &cpu)
 	}
 	if d.HasArg("rack") {
 		d.ScanArgs(h.t, "rack", &rack)
 	}
-	h.runners[name] = &fakeRunner{wantsTickets: d.HasArg("tickets"), running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + name, Born: h.now.UnixMillis, Service: "hub", Labels: []string{"a", rack}, MilliCpu: int64(cpu), MemoryMb: 64_000}}
+	if d.HasArg("service") {
+		d.ScanArgs(h.t, "service", &service)
+	}
+	h.runners[name] = &fakeRunner{wantsTickets: d.HasArg("tickets"), running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + name, Born: h.now.UnixMillis, Service: service, Labels: []string{"a", rack}, MilliCpu: int64(cpu), MemoryMb: 64_000}}
 	h.connect(name)
 	h.commitAll()
 }
@@ -507,7 +526,8 @@
 	r.acknowledgedEnd = max(r.acknowledgedEnd, o.GetSettled())
 	r.ends = slices.DeleteFunc(r.ends, func(e *flowpb.End) bool { return e.GetNumber() <= r.acknowledgedEnd })
 	for _, s := range o.GetStarts() {
-		if r.wantsTickets && s.GetTicket() == "" {
+		job, _, _ := strings.Cut(s.GetTask(), ".")
+		if s.GetTicket() == "" && (r.wantsTickets || h.advised != nil && h.advised(job)) {
 			h.printf("%s refuses %s run %d without a ticket\n", node, s.GetTask(), s.GetRun())
 			r.refusals = append(r.refusals, &flowpb.StartResult{Task: s.GetTask(), Run: s.GetRun(), Outcome: flowpb.StartOutcome_START_OUTCOME_TICKET})
 			continue
