Count what a gang has reserved against the limits per runner

Cause: a gang reserves room for all its tasks before any of them gets its run. The limit of tasks per runner, and that of runs per runner, counted runs alone.

Change: a candidate counts what is reserved on it by step and in all, and both limits read it.

--- a/internal/flow/engine/odd_test.go
+++ b/internal/flow/engine/odd_test.go
@@ -143,3 +143,16 @@
 	}
 	is.True(s.slow())
 }
+
+// TestLargeGangKeepsRunLimit guards against a gang that brings a runner beyond maxWorkerRuns, since its tasks get their
+// runs only when all of them have room.
+func TestLargeGangKeepsRunLimit(t *testing.T) {
+	is := is.New(t)
+	e, now := newTestEngine()
+	is.Equal(submitTestJob(e, now, &flowpb.Job{Id: "j", Steps: []*flowpb.Step{{Count: maxWorkerRuns + 1, MilliCpu: 1, Gang: true}}}), flowpb.Status_STATUS_UNKNOWN)
+	e.Place(now)
+	is.Equal(e.Stats().Runs, 0)
+	is.Equal(submitTestJob(e, now, &flowpb.Job{Id: "k", Steps: []*flowpb.Step{{Count: maxWorkerRuns, MilliCpu: 1, Gang: true}}}), flowpb.Status_STATUS_UNKNOWN)
+	e.Place(now)
+	is.Equal(e.Stats().Runs, maxWorkerRuns)
+}
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -29,6 +29,10 @@
 	heldFor *step
 	// placed is the number of tasks placed in this round.
 	placed int
+	// reserved counts the tasks of each step for which room is reserved and that have no run yet, reservedRuns
+	// those of all steps.
+	reserved     map[*step]int
+	reservedRuns int
 }
 
 // Place assigns pending tasks to workers with enough free resources, in the order of the policy.
@@ -235,6 +239,11 @@
 // reserve deducts the resources of one task of the step from those left on the candidate.
 func (c *candidate) reserve(s *step) {
 	c.placed++
+	if c.reserved == nil {
+		c.reserved = map[*step]int{}
+	}
+	c.reserved[s]++
+	c.reservedRuns++
 	c.free = c.free.Minus(s.resources())
 	if s.def.GetFills() {
 		c.idleMilliCPU -= s.def.GetMilliCpu()
@@ -247,6 +256,8 @@
 // release undoes reserve, except for the latencyCritical flag.
 func (c *candidate) release(s *step) {
 	c.placed--
+	c.reserved[s]--
+	c.reservedRuns--
 	c.free = c.free.Plus(s.resources())
 	if s.def.GetFills() {
 		c.idleMilliCPU += s.def.GetMilliCpu()
@@ -259,10 +270,10 @@
 // resources, which may be held for another step. Best-effort tasks take nothing that is held. A runner
 // that is probed gets one task.
 func (e *Engine) feasible(s *step, c *candidate, now time.Duration) bool {
-	if c.worker.health.probing && c.placed > 0 || c.worker.runs.len() >= maxWorkerRuns {
+	if c.worker.health.probing && c.placed > 0 || c.worker.runs.len()+c.reservedRuns >= maxWorkerRuns {
 		return false
 	}
-	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now)
+	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now) && s.allowsAnother(c.worker, c.reserved[s])
 }
 
 // suits reports whether a worker has the service and the label that the step requires.
@@ -279,8 +290,14 @@
 	if s.job().queue.Advised && !s.hasTicket(w, now) {
 		return false
 	}
+	return s.allowsAnother(w, 0)
+}
+
+// allowsAnother reports whether the limit of tasks per runner allows another task of the step on a worker, on which room is
+// reserved for some.
+func (s *step) allowsAnother(w *worker, reserved int) bool {
 	limit := int(s.def.GetMaxPerRunner())
-	return limit == 0 || w.countRuns(s) < limit
+	return limit == 0 || w.countRuns(s)+reserved < limit
 }
 
 // countRuns returns the number of live runs of a step.
@@ -406,6 +423,8 @@
 	t.runs = append(t.runs, r)
 	s.job().liveRuns++
 	c.worker.attach(r)
+	c.reserved[s]--
+	c.reservedRuns--
 	e.markDirty(s.job())
 	e.options.Log.Info("task placed", "task", t.name(), "run", number, "node", c.worker.node, "wait-ms", (now - t.waitingSince).Milliseconds(), "resumes", t.checkpoint != "", "report-age-ms", (now - c.worker.reportedAt).Milliseconds())
 }
