Let a gang be the probe of a runner that was ejected

What callers would see (LOST): a gang waits for good. The runners that it fits on were ejected, and one that is probed gets a single task, which a gang of several never is; no other task comes that would end the probing.

Cause and change: the probe of a runner is one task, and now also the tasks of one gang, which can't be parted.

Test, failed before: TestEngine/probed-by-gang (nothing started).

--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -268,9 +268,10 @@
 
 // feasible reports whether a task of the step may run on a candidate and fits in its free
 // resources, which may be held for another step. Best-effort tasks take nothing that is held. A runner
-// that is probed gets one task.
+// that is probed gets one task, or those of one gang, which can't be parted.
 func (e *Engine) feasible(s *step, c *candidate, now time.Duration) bool {
-	if c.worker.health.probing && c.placed > 0 || c.worker.runs.len()+c.reservedRuns >= maxWorkerRuns {
+	probed := c.worker.health.probing && c.placed > 0 && !(s.def.GetGang() && c.reserved[s] == c.placed)
+	if probed || c.worker.runs.len()+c.reservedRuns >= maxWorkerRuns {
 		return false
 	}
 	return (c.heldFor == nil || c.heldFor == s || s.def.GetFills()) && s.resources().Fits(c.free) && e.eligible(s, c.worker, now) && s.allowsAnother(c.worker, c.reserved[s])
