Take an inbox item that is written again once

What callers would see: the cancel of a job is never stored, and no end of any job is acknowledged any more, while the owner commits without a pause. A client repeats the cancel at entries that don't reach the owner, more than 25 times within one commit, as beside a slow store.

Cause: each write of the item comes to the owner and was added to the items that the job's next commit deletes. A change that takes more entries than a transaction has is put off, and this one for good.

Change: an item is deleted once, however often it came; likewise one without effect.

Test, failed before: TestEngine/inbox-cancel-repeated ("commits without end"; the harness now bounds them). Found by random schedules of takeovers, which did not end.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -121,24 +121,22 @@
 	if def == nil {
 		j := e.jobs[item.GetCancel()]
 		if j == nil {
-			e.staleInboxItems = append(e.staleInboxItems, name)
+			e.dropInboxItem(name)
 			return
 		}
 		e.options.Log.Info("cancel accepted from inbox", "job", j.id())
 		e.closeJob(j, flowpb.Outcome_OUTCOME_CANCELLED, now, "cancelled by the client")
-		j.inboxItems = append(j.inboxItems, name)
-		e.markDirty(j)
+		e.addInboxItem(j, name)
 		return
 	}
 	if known := e.jobs[def.GetId()]; known != nil && !known.durable {
 		// The job was also submitted to the owner directly. The item keeps the job durable until
 		// a commit has stored it.
-		known.inboxItems = append(known.inboxItems, name)
-		e.markDirty(known)
+		e.addInboxItem(known, name)
 		return
 	} else if validateSteps(def) != nil || known != nil {
 		// The item is a duplicate, or was not written by an entry.
-		e.staleInboxItems = append(e.staleInboxItems, name)
+		e.dropInboxItem(name)
 		return
 	}
 	q := e.queueFor(def)
@@ -149,6 +147,21 @@
 	e.addJob(j, newOccurrence(j, 0, now.Monotonic), now)
 }
 
+// addInboxItem has the next commit of a job delete an item of the inbox. An item that is written again comes here again.
+func (e *Engine) addInboxItem(j *job, name string) {
+	if !slices.Contains(j.inboxItems, name) {
+		j.inboxItems = append(j.inboxItems, name)
+	}
+	e.markDirty(j)
+}
+
+// dropInboxItem has the next commit delete an item without effect.
+func (e *Engine) dropInboxItem(name string) {
+	if !slices.Contains(e.staleInboxItems, name) {
+		e.staleInboxItems = append(e.staleInboxItems, name)
+	}
+}
+
 // warmedUp reports whether the runners have had time to report to this owner.
 func (e *Engine) warmedUp(now time.Duration) bool {
 	if e.startedAt == 0 {
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -122,6 +122,8 @@
 		h.submit(d)
 	case "hand":
 		h.hand(id, &flowpb.Handed{Job: h.oneTask(d, id)})
+	case "hand-cancel":
+		h.hand("cancel-"+id, &flowpb.Handed{Cancel: id})
 	case "accept":
 		// The call is not answered before the next commit, so that a script can make the store
 		// fail before.
@@ -478,10 +480,16 @@
 	}
 }
 
+// maxTestCommits is more than the changes of one event take.
+const maxTestCommits = 1000
+
 // commitAll places tasks, carries out effects and commits until there is nothing left to commit.
 func (h *harness) commitAll() {
 	h.engine.Place(h.now)
-	for {
+	for commits := 0; ; commits++ {
+		if commits > maxTestCommits {
+			h.t.Fatal("commits without end")
+		}
 		h.carryOutEffects()
 		if h.holdsCommits && h.heldBatch != nil {
 			return
