Show a job that has begun as running after a takeover

What callers saw: a job that was shown as running was shown as queued again, and counted as pending, after another entry had taken over, until the next of its tasks started.

Cause: whether a job has begun lies in its state, which is stored when it begins, and in its full record, which is stored with its acceptance and then once in 128 commits. The next owner took it from the record alone, and stored the older state over the newer one.

Change: either of the two shows it, since a job that has begun stays so.

Test, failed before: TestEngine/begun-after-takeover ("queued").

--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -137,6 +137,8 @@
 	}
 	j.arrivedAt = now.Monotonic - saturate.Millis(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))
 	j.storedState = stateOf(state)
+	// The full record may be from before the job began.
+	j.begun = j.begun || state.GetBegun()
 	e.jobs[j.id()] = j
 	if j.open() {
 		e.openJobs[j.id()] = j
