TestRebuiltOwner: leave out what is done, and versions of the same settings

Four differences that the comparison of fields met within 1,000 schedules were traced, and decide nothing: the newer version of settings that did not change, ready for a step that is done, runs, copies and checkpoint of a task that is done, tasks of an occurrence that is done. docs/STEPS.md says so; what waits or runs is compared as before.

--- a/internal/flow/engine/rebuild_test.go
+++ b/internal/flow/engine/rebuild_test.go
@@ -297,19 +297,39 @@
 		for i, o := range before.occurrences {
 			w.compareFields(t, before, id, o, after.occurrences[i])
 			for k, s := range o.steps {
+				if o.done {
+					// Nothing of its tasks matters any more.
+					break
+				}
 				w.compareFields(t, before, s.name(), s, after.occurrences[i].steps[k])
 				for n, task := range s.tasks {
-					w.compareFields(t, before, task.name(), task, after.occurrences[i].steps[k].tasks[n])
+					if other := after.occurrences[i].steps[k].tasks[n]; !task.done || !other.done {
+						w.compareFields(t, before, task.name(), task, other)
+					}
 				}
 			}
 		}
 	}
 }
 
-// mayDiffer are fields in which the next owner may differ at first: whether a job has begun is stored with its next change,
-// and the start of an occurrence matters for recurring jobs alone.
-func mayDiffer(field string, j *job) bool {
-	return field == "job.begun" || field == "occurrence.startedAt" && j.def.GetOccurrences() == 0
+// mayDiffer reports whether the next owner may differ in a field at first. Whether a job has begun is stored with its next
+// change, the start of an occurrence matters for recurring jobs alone, and a step that is done need not be ready.
+func mayDiffer(field string, j *job, value any) bool {
+	s, isStep := value.(*step)
+	return field == "job.begun" || field == "occurrence.startedAt" && j.def.GetOccurrences() == 0 || field == "step.ready" && isStep && s.remaining == 0
+}
+
+// sameSettings reports whether two values are queues of the same settings, which a later version may have confirmed.
+func sameSettings(before, after reflect.Value) bool {
+	if before.Type() != reflect.TypeFor[Queue]() {
+		return false
+	}
+	for i := range before.NumField() {
+		if before.Type().Field(i).Name != "Version" && !before.Field(i).Equal(after.Field(i)) {
+			return false
+		}
+	}
+	return true
 }
 
 // compareFields compares two values of a type by the fields that docs/STEPS.md lists as stored or computed.
@@ -317,10 +337,10 @@
 	a, b := reflect.ValueOf(before).Elem(), reflect.ValueOf(after).Elem()
 	for i := range a.NumField() {
 		field := a.Type().Name() + "." + a.Type().Field(i).Name
-		if way := w.ways[field]; way != fieldStored && way != fieldComputed || mayDiffer(field, j) || !a.Field(i).Comparable() || a.Field(i).Kind() == reflect.Pointer {
+		if way := w.ways[field]; way != fieldStored && way != fieldComputed || mayDiffer(field, j, before) || !a.Field(i).Comparable() || a.Field(i).Kind() == reflect.Pointer {
 			continue
 		}
-		if !a.Field(i).Equal(b.Field(i)) {
+		if !a.Field(i).Equal(b.Field(i)) && !sameSettings(a.Field(i), b.Field(i)) {
 			t.Fatalf("%s of %s is %v, for the next owner %v", field, name, a.Field(i), b.Field(i))
 		}
 	}
