Wait half a second after a start that was refused for a ticket nobody knew of

Change: a task of a queue without advice that a runner refused for lack of a ticket waits 0.5 s.

Test, failed before: TestEngine/refused-without-ticket (a start at every report).

--- a/internal/flow/engine/advice.go
+++ b/internal/flow/engine/advice.go
@@ -15,6 +15,9 @@
 	maxApprovalRunners = 30
 	// approvalRetryInterval is the least time between two requests for the same step.
 	approvalRetryInterval = 500 * time.Millisecond
+	// unadvisedRetryDelay is how long a task waits that was refused for lack of a ticket, though no configuration
+	// that the owner knows asks for one.
+	unadvisedRetryDelay = 500 * time.Millisecond
 	// ticketExpiryMargin is how long before its expiry a ticket is no longer used.
 	ticketExpiryMargin = 300 * time.Millisecond
 )
--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -237,6 +237,10 @@
 		w.health.eject(now)
 	case flowpb.StartOutcome_START_OUTCOME_TICKET:
 		delete(r.task.step.tickets, w.info.GetId())
+		if !r.task.step.job().queue.Advised {
+			// The configuration that tells of the tickets is on its way.
+			r.task.notBefore = now + unadvisedRetryDelay
+		}
 	}
 	e.options.Log.Info("start refused", "node", w.node, "task", r.task.name(), "run", r.number, "reason", result.GetOutcome().String())
 	e.detach(r, now)
