Log an invalid job of the inbox that is dropped

It was dropped without a line. An entry writes none, so that this tells of a foreign writer or a fault. No behaviour changes; the tests of internal/flow pass.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -134,8 +134,13 @@
 		// a commit has stored it.
 		e.addInboxItem(known, name)
 		return
-	} else if validateSteps(def) != nil || known != nil {
-		// The item is a duplicate, or was not written by an entry.
+	} else if known != nil {
+		e.dropInboxItem(name)
+		return
+	}
+	if err := validateSteps(def); err != nil {
+		// It was not written by an entry.
+		e.options.Log.Error("invalid job in inbox dropped", "job", def.GetId(), "error", err.Error())
 		e.dropInboxItem(name)
 		return
 	}
