Place nothing on a restarted runner before it has said what it is

Cause: the agent offered the new life as the one before had announced itself, so that runs could be settled at once.

Change: that offer says that the life has not announced itself. The owner settles runs as before and places nothing there; the first heartbeat is reported at once. A runner that restarts is idle for that long, at most a heartbeat's interval.

--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -275,8 +275,8 @@
 		a.options.Log.Info("runner announced", "runner", r.GetId(), "born", r.GetBorn(), "service", r.GetService(), "cpu", r.GetMilliCpu(), "memory-mb", r.GetMemoryMb())
 		a.beginIncarnation()
 		a.requestToken(false)
-	case before.GetDraining() != r.GetDraining():
-		a.options.Log.Info("runner state changed", "runner", r.GetId(), "draining", r.GetDraining(), "remaining-ms", r.GetRemainingMillis())
+	case before.GetUnannounced(), before.GetDraining() != r.GetDraining():
+		a.options.Log.Info("runner state changed", "runner", r.GetId(), "born", r.GetBorn(), "cpu", r.GetMilliCpu(), "memory-mb", r.GetMemoryMb(), "draining", r.GetDraining(), "remaining-ms", r.GetRemainingMillis())
 		if a.state.tokenConfirmed {
 			a.sendReport(&flowpb.Report{})
 		}
--- a/internal/flow/agent/incarnation_test.go
+++ b/internal/flow/agent/incarnation_test.go
@@ -12,13 +12,16 @@
 	"github.com/jasminebay/jasminebay/internal/loop"
 )
 
-// offers keeps the runners for which an agent asks the owner for a token.
+// offers keeps the runners for which an agent asks the owner for a token, and those that it reports.
 type offers struct{ runners []*flowpb.Runner }
 
 func (l *offers) Send(f *flowpb.Frame) {
 	if s := f.GetSync(); s != nil {
 		l.runners = append(l.runners, s.GetRunner())
 	}
+	if r := f.GetReport().GetRunner(); r != nil {
+		l.runners = append(l.runners, r)
+	}
 }
 
 // offered calls f on the loop of an agent that runs, and returns the runners that it then offers to the owner.
@@ -59,6 +62,24 @@
 	is.Equal(r.GetBorn(), int64(3000))
 	is.Equal(r.GetMilliCpu(), int64(2)) // as the heartbeat of the life before said
 	is.Equal(r.GetLabels(), []string{"b"})
+	is.True(r.GetUnannounced()) // it may be of another kind, and gets no task before it has said so
+}
+
+// TestAnnouncedRunnerIsReported guards against a restarted runner that gets no tasks though it has said what it is.
+func TestAnnouncedRunnerIsReported(t *testing.T) {
+	is := is.New(t)
+	runners := offered(t, func(a *Agent) {
+		a.state.runner = &flowpb.Runner{Id: "i-1", Born: 1000, MilliCpu: 4}
+		a.state.lastRunner = a.runnerID()
+		a.beginRestarted(2000)
+		a.state.token, a.state.tokenConfirmed = 8, true
+		a.sendReport(&flowpb.Report{})
+		a.applyRunner(&flowpb.Runner{Id: "i-1", Born: 2000, MilliCpu: 2})
+	})
+	is.Equal(len(runners), 3) // the request for a token, and two reports
+	is.True(runners[0].GetUnannounced())
+	is.True(!runners[2].GetUnannounced())
+	is.Equal(runners[2].GetMilliCpu(), int64(2))
 }
 
 // TestLostRunnerIsOfferedUnannounced guards against a runner that is offered to the owner with the kind of its life
--- a/internal/flow/agent/poll.go
+++ b/internal/flow/agent/poll.go
@@ -165,11 +165,11 @@
 	return len(report.Ended) > 0 || newlyConfirmed
 }
 
-// withStartTime returns a copy of r for the incarnation that was started at startedMillis.
+// withStartTime returns a copy of r for the incarnation that was started at startedMillis and has not announced itself.
 func withStartTime(r *flowpb.Runner, startedMillis int64) *flowpb.Runner {
 	return &flowpb.Runner{
 		Id: r.GetId(), Born: startedMillis, Service: r.GetService(), Zone: r.GetZone(), Labels: r.GetLabels(), MilliCpu: r.GetMilliCpu(),
-		MemoryMb: r.GetMemoryMb(), Accelerators: r.GetAccelerators(),
+		MemoryMb: r.GetMemoryMb(), Accelerators: r.GetAccelerators(), Unannounced: true,
 	}
 }
 
--- a/internal/flow/engine/worker.go
+++ b/internal/flow/engine/worker.go
@@ -168,9 +168,9 @@
 }
 
 // schedulable reports whether new tasks may be placed on the worker. An agent without a lease of
-// this owner may refuse starts.
+// this owner may refuse starts, and a runner that has not announced itself may be of another kind than before.
 func (w *worker) schedulable(now time.Duration) bool {
-	return w.connected && w.synced && now < w.grantedUntil && now >= w.noLeaseUntil && !w.info.GetDraining() && !w.info.GetAgentLeaving() &&
+	return w.connected && w.synced && now < w.grantedUntil && now >= w.noLeaseUntil && !w.info.GetDraining() && !w.info.GetAgentLeaving() && !w.info.GetUnannounced() &&
 		now-w.reportedAt < maxReportAge && len(w.orphanRuns) == 0
 }
 
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -204,6 +204,7 @@
 		r := h.runners[name]
 		r.info = proto.CloneOf(r.info)
 		r.info.Born++
+		r.info.Unannounced = d.HasArg("unannounced")
 		r.running, r.ends, r.lastEnd, r.acknowledgedEnd = map[driver.RunID]*flowpb.Run{}, nil, 0, 0
 		if id != "" {
 			// The new incarnation carries out a start that was sent to the one before.
@@ -216,6 +217,21 @@
 		h.carryOutEffects()
 		h.report(name)
 		h.commitAll()
+	case "announce":
+		// The present incarnation says what it is.
+		r := h.runners[name]
+		r.info = proto.CloneOf(r.info)
+		r.info.Unannounced = false
+		if d.HasArg("service") {
+			d.ScanArgs(h.t, "service", &r.info.Service)
+		}
+		if d.HasArg("cpu") {
+			cpu := 0
+			d.ScanArgs(h.t, "cpu", &cpu)
+			r.info.MilliCpu = int64(cpu)
+		}
+		h.report(name)
+		h.commitAll()
 	case "gone":
 		s := &flowpb.Sync{Runner: h.runners[name].info, Gone: true}
 		if id != "" {
