--- a/internal/flow/engine/rebuild_test.go
+++ b/internal/flow/engine/rebuild_test.go
@@ -211,9 +211,7 @@
 // crash restarts a runner under its id, which its agent notices at once.
 func (w *rebuildWorld) crash(node string) {
 	r := w.runners[node]
-	r.info = proto.CloneOf(r.info)
-	r.info.Born++
-	r.running, r.ends, r.lastEnd, r.acknowledgedEnd, r.refusals = map[driver.RunID]*flowpb.Run{}, nil, 0, 0, nil
+	r.restart()
 	w.engine.Sync(node, &flowpb.Sync{Runner: r.info}, w.now)
 	w.carryOutEffects()
 	w.report(node)
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -202,10 +202,8 @@
 		h.runners[name].dropsOrders = true
 	case "crash":
 		r := h.runners[name]
-		r.info = proto.CloneOf(r.info)
-		r.info.Born++
+		r.restart()
 		r.info.Unannounced = d.HasArg("unannounced")
-		r.running, r.ends, r.lastEnd, r.acknowledgedEnd = map[driver.RunID]*flowpb.Run{}, nil, 0, 0
 		if id != "" {
 			// The new incarnation carries out a start that was sent to the one before.
 			r.running[driver.RunID{Task: id, Run: uint32(n)}] = &flowpb.Run{Task: id, Run: uint32(n)}
@@ -471,6 +469,13 @@
 	h.commitAll()
 }
 
+// restart begins the runner's next incarnation, which holds and knows nothing.
+func (r *fakeRunner) restart() {
+	r.info = proto.CloneOf(r.info)
+	r.info.Born++
+	r.running, r.ends, r.lastEnd, r.acknowledgedEnd, r.refusals = map[driver.RunID]*flowpb.Run{}, nil, 0, 0, nil
+}
+
 func (r *fakeRunner) end(id driver.RunID, kind driver.EndKind, checkpoint string) {
 	if r.running[id] == nil {
 		return
