--- a/internal/flow/engine/advice.go
+++ b/internal/flow/engine/advice.go
@@ -62,7 +62,7 @@
 
 // newApprovalRequest names the runners with the most free processors that may run the step and for which it has no ticket,
 // without those that were denied before. It names none while the runners with a ticket have room for all tasks that wait,
-// and while there are any, only others that have room themselves.
+// and while there are any, only others that have room themselves: on a full fleet, where no ticket helps, it asks for none.
 func newApprovalRequest(s *step, candidates []*candidate, now time.Duration) ApprovalRequest {
 	request := ApprovalRequest{Step: s.name(), step: s, incarnations: map[string]*flowpb.Runner{}}
 	waiting, hasTickets := s.countPending(now), false
--- a/internal/flow/engine/rebuild_test.go
+++ b/internal/flow/engine/rebuild_test.go
@@ -71,7 +71,7 @@
 			"wait":      func(t *rapid.T) { w.wait(time.Duration(rapid.IntRange(1, 30).Draw(t, "ticks")) * testTick) },
 			"advise":    func(*rapid.T) { w.advise(); w.commitAll() },
 			"end":       func(t *rapid.T) { w.drawEnd(t) },
-			"crash":     func(t *rapid.T) { w.crash(rapid.SampledFrom(rebuildNodes).Draw(t, "node")) },
+			"crash":     func(t *rapid.T) { w.restartRunner(rapid.SampledFrom(rebuildNodes).Draw(t, "node")) },
 			"take over": func(t *rapid.T) { w.rebuild(t) },
 		})
 	})
@@ -208,16 +208,6 @@
 	})
 }
 
-// crash restarts a runner under its id, which its agent notices at once.
-func (w *rebuildWorld) crash(node string) {
-	r := w.runners[node]
-	r.restart()
-	w.engine.Sync(node, &flowpb.Sync{Runner: r.info}, w.now)
-	w.carryOutEffects()
-	w.report(node)
-	w.commitAll()
-}
-
 // clone returns a copy of the world whose owner is rebuilt from the store. No agent has found it yet.
 func (w *rebuildWorld) clone() (*rebuildWorld, error) {
 	c := *w
--- a/internal/flow/engine/rounds_test.go
+++ b/internal/flow/engine/rounds_test.go
@@ -89,16 +89,6 @@
 	w.commitAll()
 }
 
-// restartRunner lets a runner start again with nothing on it, of which its agent hears at once.
-func (w *roundWorld) restartRunner(node string) {
-	r := w.runners[node]
-	r.restart()
-	w.engine.Sync(node, &flowpb.Sync{Runner: r.info}, w.now)
-	w.carryOutEffects()
-	w.report(node)
-	w.commitAll()
-}
-
 // drawJobs submits several jobs, whose tasks are placed in one round.
 func (w *roundWorld) drawJobs(t *rapid.T) {
 	for range rapid.IntRange(1, 4).Draw(t, "jobs") {
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -371,6 +371,12 @@
 	h.report(name)
 }
 
+// restartRunner lets a runner start again under its id with nothing on it, which its agent notices at once.
+func (h *harness) restartRunner(name string) {
+	h.runners[name].restart()
+	h.sync(name)
+}
+
 // sync requests a new token, under which the runner lists its runs.
 func (h *harness) sync(name string) {
 	h.engine.Sync(name, &flowpb.Sync{Runner: h.runners[name].info}, h.now)
