Count only the work that others can do within a job's time

Cause: admission counted all remaining work of the jobs before a new one as ahead of it. Change: competing.go spreads the work of a job evenly over its remaining critical path and counts the part within the new job's allowed time. Measured: TestEngine/long-beside-short and TestDecisions/competing-work; the first fails without it.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -29,8 +29,8 @@
 type Load struct {
 	// MilliCPU is the capacity of the queue's runners, in thousandths of a processor.
 	MilliCPU int64
-	// Backlog is the remaining work of equal and higher priority, including the job itself, in
-	// thousandths of a processor times milliseconds.
+	// Backlog is the work of equal and higher priority that can be done within AllowedMillis, and that of the
+	// job itself, in thousandths of a processor times milliseconds.
 	Backlog float64
 	// CriticalPathMillis is the expected duration of the job's critical path.
 	CriticalPathMillis float64
@@ -206,6 +206,13 @@
 		}
 	}
 	bestEffort := j.bestEffort()
+	l.CriticalPathMillis = e.estimates.expectedMillis(j.queue.Name, first.criticalPathMillis())
+	l.AllowedMillis = j.queue.Stretch*l.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
+	if !bestEffort {
+		// Other tasks give way to such a job, so that the estimate of its wait is unreliable, and
+		// only a job that would be too late to be of use is refused.
+		l.AllowedMillis *= e.options.LateFactor
+	}
 	// While no task waits, the running tasks leave enough room, even if the estimates of their
 	// remaining work suggest otherwise.
 	queued := bestEffort || e.hasQueuedTasks(j, first.startedAt)
@@ -217,7 +224,7 @@
 		l.MilliCPU -= other.longRunningMilliCPU(bestEffort)
 		// Best-effort jobs take no processors from other jobs.
 		if queued && (bestEffort || !other.bestEffort()) {
-			l.Backlog += e.remainingWork(other)
+			l.Backlog += e.workWithin(other, l.AllowedMillis)
 		}
 	}
 	if bestEffort && e.throughput > 0 {
@@ -226,13 +233,6 @@
 	for _, s := range first.steps {
 		l.Backlog += float64(s.def.GetCount()) * e.estimates.expectedMillis(j.queue.Name, estimateMillis(s.def)) * float64(s.def.GetMilliCpu())
 	}
-	l.CriticalPathMillis = e.estimates.expectedMillis(j.queue.Name, first.criticalPathMillis())
-	l.AllowedMillis = j.queue.Stretch*l.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
-	if !bestEffort {
-		// Other tasks give way to such a job, so that the estimate of its wait is unreliable, and
-		// only a job that would be too late to be of use is refused.
-		l.AllowedMillis *= e.options.LateFactor
-	}
 	return l, true
 }
 
--- a/internal/flow/engine/decisions_test.go
+++ b/internal/flow/engine/decisions_test.go
@@ -45,6 +45,8 @@
 	case "admit":
 		ok, after := Admit(Load{MilliCPU: int64(s.number(d, "cores", 0) * 1000), Backlog: s.number(d, "core-seconds", 0) * 1e6, AllowedMillis: s.number(d, "allowed-ms", 0)})
 		return fmt.Sprintf("%v %v\n", ok, after)
+	case "competes":
+		return fmt.Sprintf("%.4g\n", competingWork(s.number(d, "core-seconds", 0), s.number(d, "path-ms", 0), s.number(d, "window-ms", 0)))
 	case "order":
 		return s.order(d)
 	case "paces":
