Add the field evacuated of a data centre to the document

Operators evacuate data centres, which nothing expressed so far. The field is optional and not written unless it is set, so that documents without it stay as they are.

--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -169,6 +169,9 @@
 	Region string `json:"region"`
 	// Cells is the number of cells into which the workers are divided, from 1 to 64.
 	Cells int `json:"cells"`
+	// Evacuated tells that the data centre is to be emptied: requests go to other data centres, no
+	// task starts and those that run are evicted. All data centres may be evacuated at once.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // Service returns the service with the given name, or nil if there is none.
@@ -214,6 +217,19 @@
 	return nil
 }
 
+// Evacuated reports whether the data centre with the given name is evacuated; d may be nil.
+func (d *Document) Evacuated(dataCentre string) bool {
+	if d == nil {
+		return false
+	}
+	for _, c := range d.DataCentres {
+		if c.Name == dataCentre {
+			return c.Evacuated
+		}
+	}
+	return false
+}
+
 // TotalCells returns the number of cells of all data centres together, counting at least 1 for each.
 func (d *Document) TotalCells() (total int) {
 	for _, c := range d.DataCentres {
--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -94,7 +94,7 @@
 }
 
 // FuzzParse checks that Parse does not panic, returns no other errors than a Faults that is not empty,
-// and accepts no document without an environment.
+// and accepts no document without an environment. In an accepted one SetEvacuated changes its field alone.
 func FuzzParse(f *testing.F) {
 	for _, name := range []string{"verband.json", "passline.json"} {
 		raw, err := os.ReadFile("../../examples/" + name)
@@ -113,6 +113,11 @@
 		if err == nil && d.Environment == "" {
 			t.Fatal("accepted without an environment")
 		}
+		if err == nil {
+			if err := checkSetEvacuated(raw, d); err != nil {
+				t.Fatal(err)
+			}
+		}
 	})
 }
 
