Let operators evacuate a data centre and take it back

The HTTP API, pkg/client and the command evacuate set the field of a data centre in the newest revision by compare-and-swap, and try again after a conflict, five times in all. A repeated call changes nothing and returns the current revision. A promotion keeps the target's own value; it is refused if the target's document was not read at the revision that it replaces. status shows which data centres are evacuated, also one without an entry.

--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -92,6 +92,31 @@
 		[][]string{{"ENVIRONMENT", "REVISION"}, {c.Args.To, strconv.FormatUint(revision, 10)}})
 }
 
+type evacuateCommand struct {
+	clientFlags
+	Environment string `long:"environment" env:"JASMINEBAY_ENVIRONMENT" default:"production" description:"environment whose document is changed" value-name:"NAME"`
+	End         bool   `long:"end" description:"take the data centre back"`
+	Args        struct {
+		DataCentre string `positional-arg-name:"DATA-CENTRE"`
+	} `positional-args:"yes" required:"yes"`
+	ctx     context.Context
+	streams streams
+}
+
+// Execute evacuates a data centre, or takes it back with --end.
+func (c *evacuateCommand) Execute([]string) error {
+	change, state := c.client().Evacuate, "evacuated"
+	if c.End {
+		change, state = c.client().EndEvacuation, "in use"
+	}
+	revision, err := change(c.ctx, c.Environment, c.Args.DataCentre)
+	if err != nil {
+		return err
+	}
+	return c.printResult(c.streams.out, map[string]any{"data-centre": c.Args.DataCentre, "environment": c.Environment, "evacuated": !c.End, "revision": revision},
+		[][]string{{"DATA-CENTRE", "STATE", "ENVIRONMENT", "REVISION"}, {c.Args.DataCentre, state, c.Environment, strconv.FormatUint(revision, 10)}})
+}
+
 type statusCommand struct {
 	clientFlags
 	Args struct {
@@ -101,16 +126,20 @@
 	streams streams
 }
 
-// Execute prints which revision is in force in each data centre.
+// Execute prints which revision is in force in each data centre, and which ones are evacuated.
 func (c *statusCommand) Execute([]string) error {
 	s, err := c.client().Status(c.ctx, c.Args.Environment)
 	if err != nil {
 		return err
 	}
-	rows := [][]string{{"DATA-CENTRE", "IN-FORCE", "REVISION", "ENTRIES", "AGENTS", "AGENTS-REVISION", "HEARD"}}
+	rows := [][]string{{"DATA-CENTRE", "STATE", "IN-FORCE", "REVISION", "ENTRIES", "AGENTS", "AGENTS-REVISION", "HEARD"}}
 	for _, d := range s.DataCentres {
+		state := "in use"
+		if d.Evacuated {
+			state = "evacuated"
+		}
 		rows = append(rows, []string{
-			d.Name, strconv.FormatBool(d.InForce), strconv.FormatUint(d.Revision, 10), strconv.Itoa(d.Entries),
+			d.Name, state, strconv.FormatBool(d.InForce), strconv.FormatUint(d.Revision, 10), strconv.Itoa(d.Entries),
 			strconv.Itoa(d.Agents), strconv.FormatUint(d.AgentsRevision, 10), fmt.Sprintf("%d ms ago", d.HeardMillisAgo),
 		})
 	}
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,6 +22,12 @@
 	readBackDelay = 100 * time.Millisecond
 )
 
+// Attempts to change the newest revision while others change it as well, and the mean delay between them.
+const (
+	maxEvacuationTries = 5
+	conflictDelay      = 50 * time.Millisecond
+)
+
 // ConflictError is returned if the document has changed since the operator read it.
 type ConflictError struct {
 	// Revision is the current revision, or 0 if there is no document.
@@ -145,7 +152,34 @@
 	return 0, &IndeterminateError{Reason: reason}
 }
 
-// Promote copies the document of one environment to another.
+// SetEvacuated sets the field evacuated of a data centre in the newest document of an environment, and
+// returns the new revision and the record. It changes nothing if the field has that value already; the
+// revision is the current one then and the record nil. After a conflict it tries again on the newest
+// revision, a few times. The errors are those of Put, driver.ErrNotFound and document.ErrNoDataCentre.
+func (e *Editor) SetEvacuated(ctx context.Context, environment, dataCentre string, evacuated bool) (before, next uint64, record []byte, err error) {
+	for range maxEvacuationTries {
+		var raw, changed []byte
+		if raw, before, err = e.Get(ctx, environment); err != nil {
+			return 0, 0, nil, err
+		}
+		if changed, err = document.SetEvacuated(raw, dataCentre, evacuated); err != nil {
+			return before, 0, nil, err
+		}
+		if bytes.Equal(changed, raw) {
+			return before, before, nil, nil
+		}
+		next, record, err = e.Put(ctx, environment, before, changed)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		loop.Pause(ctx, conflictDelay/2+rand.N(conflictDelay))
+	}
+	return before, next, record, err
+}
+
+// Promote copies the document of one environment to another. Which data centres are evacuated stays as
+// it is in the target.
 func (e *Editor) Promote(ctx context.Context, from, to string, revision uint64) (next uint64, record []byte, err error) {
 	raw, _, err := e.Get(ctx, from)
 	if err != nil {
@@ -162,5 +196,34 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	if raw, err = e.keepEvacuated(ctx, to, revision, raw); err != nil {
+		return 0, nil, err
+	}
 	return e.Put(ctx, to, revision, raw)
 }
+
+// keepEvacuated sets the field evacuated of each data centre in a document to its value in the given
+// revision of the document of the target, which may not exist yet.
+func (e *Editor) keepEvacuated(ctx context.Context, target string, revision uint64, raw []byte) ([]byte, error) {
+	var before, next document.Document
+	current, found, err := e.Get(ctx, target)
+	switch {
+	case errors.Is(err, driver.ErrNotFound):
+	case err != nil:
+		return nil, err
+	case found != revision:
+		return nil, &ConflictError{Revision: found}
+	default:
+		// The rest of a document that only an older release accepts does not matter here.
+		_ = document.Strict(current, &before)
+	}
+	_ = document.Strict(raw, &next)
+	for _, dc := range next.DataCentres {
+		changed, err := document.SetEvacuated(raw, dc.Name, before.Evacuated(dc.Name))
+		if err != nil {
+			return nil, err
+		}
+		raw = changed
+	}
+	return raw, nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,7 +127,7 @@
 	stopped := []<-chan struct{}{
 		goServe(callers, l.Callers), goServe(operators, l.Operators),
 		e.goAccept(workContext, l.Peers), e.goDial(workContext), e.goRegister(workContext),
-		loop.Go(workContext, e.options.Watcher.Run), loop.Go(workContext, e.publishPeriodically),
+		loop.Go(workContext, e.options.Watcher.Run), loop.Go(workContext, e.publishPeriodically), loop.Go(workContext, e.followEvacuations),
 	}
 	cellsContext, stopCells := context.WithCancel(workContext)
 	cellsDone := loop.Go(cellsContext, e.cells.run)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -32,6 +32,8 @@
 	ws.Route(ws.GET("/environments/{environment}").To(e.getEnvironment).Produces(restful.MIME_JSON))
 	ws.Route(ws.PUT("/environments/{environment}").To(e.putEnvironment).Consumes("*/*").Produces(restful.MIME_JSON))
 	ws.Route(ws.POST("/environments/{environment}/promotions").To(e.postPromotion).Consumes("*/*").Produces(restful.MIME_JSON))
+	ws.Route(ws.POST("/environments/{environment}/data-centres/{data-centre}/evacuation").To(e.evacuationHandler(true)).Consumes("*/*").Produces(restful.MIME_JSON))
+	ws.Route(ws.DELETE("/environments/{environment}/data-centres/{data-centre}/evacuation").To(e.evacuationHandler(false)).Consumes("*/*").Produces(restful.MIME_JSON))
 	ws.Route(ws.GET("/environments/{environment}/status").To(e.getStatus).Produces(restful.MIME_JSON))
 	ws.Route(ws.GET("/workers").To(e.getWorkers).Produces(restful.MIME_JSON))
 	ws.Route(ws.POST("/workers/{worker}/drain").To(e.postDrain).Consumes("*/*").Produces(restful.MIME_JSON))
@@ -139,8 +141,10 @@
 		writeEditError(w, err)
 		return
 	}
-	e.log.Info("configuration accepted", "environment", environment, "from", before, "revision", next)
-	if environment == e.options.Holder.Environment() {
+	if next != before {
+		e.log.Info("configuration accepted", "environment", environment, "from", before, "revision", next)
+	}
+	if environment == e.options.Holder.Environment() && record != nil {
 		if _, err := e.options.Holder.Apply(next, record); err != nil {
 			e.log.Error("accepted configuration is invalid", "error", err.Error())
 		}
@@ -162,6 +166,8 @@
 		problem.Send(w, problem.Problem{Type: "conflict", Status: http.StatusPreconditionFailed, Detail: "the document has changed since it was read; nothing was changed", Revision: conflict.Revision})
 	case errors.As(err, &indeterminate):
 		problem.Send(w, problem.Problem{Type: "in-doubt", Status: http.StatusGatewayTimeout, Outcome: problem.OutcomeUnknown, Detail: indeterminate.Error()})
+	case errors.Is(err, document.ErrNoDataCentre):
+		problem.Write(w, http.StatusNotFound, "no-data-centre", "the document of the environment lists no such data centre")
 	case errors.Is(err, driver.ErrNotFound):
 		problem.Write(w, http.StatusNotFound, "no-document", "the environment has no document")
 	default:
@@ -177,7 +183,7 @@
 		problem.Write(w, http.StatusNotFound, "other-environment", fmt.Sprintf("this entry serves the environment %q", e.options.Holder.Environment()))
 		return
 	}
-	current := e.options.Holder.Current().Revision()
+	current, d := e.options.Holder.Current().Revision(), e.options.Holder.Document()
 	statuses := map[string]*client.DataCentreStatus{}
 	_ = e.loop.Do(func() {
 		agents, lowest := e.lowestAgentRevision()
@@ -187,8 +193,15 @@
 			current = max(current, p.state.GetRevision())
 		}
 	})
+	for name := range evacuatedDataCentres(d) {
+		if statuses[name] == nil {
+			// The VMs of an evacuated data centre may all be stopped.
+			statuses[name] = &client.DataCentreStatus{Name: name, Revision: current}
+		}
+	}
 	status := client.Status{Environment: environment, Revision: current, DataCentres: []client.DataCentreStatus{}}
 	for _, s := range statuses {
+		s.Evacuated = d.Evacuated(s.Name)
 		s.InForce = s.Revision >= current && (s.Agents == 0 || s.AgentsRevision >= current)
 		status.DataCentres = append(status.DataCentres, *s)
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -33,6 +33,10 @@
 	SlotsTaken     *prometheus.GaugeVec
 	TasksRunning   prometheus.Gauge
 	GuardActions   *prometheus.CounterVec
+	// EvacuatedDataCentres is the number of data centres that are evacuated, EvacuatedTasks the attempts
+	// that are left in each cell of one that this entry owns.
+	EvacuatedDataCentres prometheus.Gauge
+	EvacuatedTasks       *prometheus.GaugeVec
 }
 
 // NewMetrics returns Metrics that are registered in a new registry.
@@ -60,10 +64,14 @@
 		SlotsTaken:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "jasminebay", Name: "upstream_slots_taken", Help: "Slots in use at the upstream."}, []string{"service"}),
 		TasksRunning:   gauge("tasks_running", "Task attempts running on the worker."),
 		GuardActions:   counter("guard_actions_total", "Throttles, yields and evictions that protect services.", "action"),
+
+		EvacuatedDataCentres: gauge("evacuated_data_centres", "Data centres that are evacuated according to the configuration in force."),
+		EvacuatedTasks:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "jasminebay", Name: "evacuated_tasks", Help: "Task attempts left in each cell of an evacuated data centre that this entry owns."}, []string{"cell"}),
 	}
 	r.MustRegister(m.Requests, m.RequestSeconds, m.Attempts, m.Refusals, m.Ejections, m.Spills, m.Retries,
 		m.Placements, m.TaskEndings, m.Commits, m.CommitRecords, m.StoreErrors, m.Revision, m.Agents,
-		m.CellsOwned, m.CellReserved, m.SlotsTaken, m.TasksRunning, m.GuardActions)
+		m.CellsOwned, m.CellReserved, m.SlotsTaken, m.TasksRunning, m.GuardActions,
+		m.EvacuatedDataCentres, m.EvacuatedTasks)
 	return m
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -18,8 +18,8 @@
 // Options configures a Client.
 type Options struct {
 	// Address is the base URL of an entry or of the load balancer. Do needs the address for callers;
-	// Environment, Apply, Promote, Status, Workers, Upstreams, Drain and Settle need the one for
-	// operators.
+	// Environment, Apply, Promote, Evacuate, EndEvacuation, Status, Workers, Upstreams, Drain and Settle
+	// need the one for operators.
 	Address string
 	// HTTP sends the calls; nil means a new http.Client without a timeout, so that only the contexts
 	// limit the calls.
@@ -162,6 +162,28 @@
 	return c.edit(ctx, http.MethodPost, "/v1/environments/"+url.PathEscape(to)+"/promotions", revision, body)
 }
 
+// Evacuate evacuates a data centre of an environment and returns the revision that does so: requests go to
+// other data centres, no task starts there and those that run are evicted. It changes the newest revision
+// of the document; if others change it at the same time again and again, the error is an *Error with
+// status 412. A call for a data centre that is evacuated already changes nothing.
+func (c *Client) Evacuate(ctx context.Context, environment, dataCentre string) (uint64, error) {
+	return c.setEvacuated(ctx, http.MethodPost, environment, dataCentre)
+}
+
+// EndEvacuation takes a data centre back; the result is as for Evacuate.
+func (c *Client) EndEvacuation(ctx context.Context, environment, dataCentre string) (uint64, error) {
+	return c.setEvacuated(ctx, http.MethodDelete, environment, dataCentre)
+}
+
+func (c *Client) setEvacuated(ctx context.Context, method, environment, dataCentre string) (uint64, error) {
+	path := "/v1/environments/" + url.PathEscape(environment) + "/data-centres/" + url.PathEscape(dataCentre) + "/evacuation"
+	response, _, err := c.send(ctx, method, path, nil, nil)
+	if err != nil {
+		return 0, err
+	}
+	return parseETag(response)
+}
+
 // edit sends a change that is conditional on the revision of a document and returns the new revision.
 func (c *Client) edit(ctx context.Context, method, path string, revision uint64, body []byte) (uint64, error) {
 	h := http.Header{"Content-Type": {"application/json"}}
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -133,6 +133,9 @@
 	AgentsRevision uint64 `json:"agents-revision"`
 	// InForce tells that all entries and agents have the revision in Status.Revision.
 	InForce bool `json:"in-force"`
+	// Evacuated tells that the data centre is evacuated according to the revision in force at the entry
+	// that answers.
+	Evacuated bool `json:"evacuated"`
 	// HeardMillisAgo is the age in milliseconds of the oldest report that this status is based on.
 	HeardMillisAgo int64 `json:"heard-millis-ago"`
 }
