Route requests away from evacuated data centres

Entries send nothing new to upstreams of an evacuated data centre and spill to the least loaded of the others, whatever the load there; if none is left, the request is refused as not-run with Retry-After. What is in flight ends where it is. A key that an agent of the evacuated data centre was given but proved not to have run is taken back first: without that a repeat elsewhere would be told unknown until the claim expires.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -29,8 +29,9 @@
 
 // Claim names the agent that may have run a key.
 type Claim struct {
-	Service     string `json:"service"`
-	Key         string `json:"key"`
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	// Agent is empty if the key was taken back from an agent of a data centre that is evacuated.
 	Agent       string `json:"agent"`
 	DataCentre  string `json:"data-centre"`
 	Incarnation uint64 `json:"incarnation"`
@@ -42,6 +43,9 @@
 	revision uint64
 }
 
+// Unassigned reports whether the key is given to no agent, so that it has not run and may be reassigned.
+func (c *Claim) Unassigned() bool { return c.Agent == "" }
+
 // RequestID returns the request id that the agent sees.
 func (c *Claim) RequestID() string {
 	return "k-" + digest(c.Service, c.Key) + "." + strconv.FormatUint(c.Generation, 10)
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -238,6 +238,7 @@
 		Services:          map[string][]*route.Target{},
 		PeersByService:    map[string][]*route.PeerEntry{},
 		PeersByDataCentre: map[string][]*route.PeerEntry{},
+		Evacuated:         evacuatedDataCentres(e.options.Holder.Document()),
 	}
 	for _, a := range e.loopState.agents {
 		if a.hello.GetDataCentre() != e.options.DataCentre && e.servedByPeer(a.hello.GetDataCentre()) {
--- a/internal/route/fence.go
+++ b/internal/route/fence.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/claim"
+	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 )
@@ -101,8 +103,42 @@
 	return unknownReply("the idempotency key is in use by other requests")
 }
 
-// lookup returns the outcome of the key according to the agent in the claim.
+// releaseClaim prepares a request with a key to be sent to another data centre because this one is
+// evacuated. If the key has been given to an agent, it asks that agent, and if the key has not run there
+// and never will, it takes it back, so that an entry of another data centre can give it to an agent
+// there. It returns nil if the request may be sent there, or the reply.
+func (d *dispatch) releaseClaim(ctx context.Context) *Reply {
+	c, err := d.options.Claims.Read(ctx, d.request.Service, d.request.Key)
+	switch {
+	case errors.Is(err, driver.ErrNotFound):
+		d.claimReleased = true
+		return nil
+	case err != nil:
+		return d.storeUnavailable(err)
+	}
+	d.claim = c
+	if reply := d.lookup(ctx); reply.Outcome != OutcomeNotRun {
+		return reply
+	}
+	if !d.claim.Unassigned() {
+		released := false
+		if c, released, err = d.options.Claims.Reassign(ctx, d.claim, "", d.options.DataCentre, 0); err != nil {
+			return d.storeUnavailable(err)
+		}
+		if d.claim = c; !released && !c.Unassigned() {
+			return unknownReply("the idempotency key is in use by other requests")
+		}
+	}
+	d.claimReleased = true
+	return nil
+}
+
+// lookup returns the outcome of the key according to the agent in the claim. A claim without an agent
+// has not run.
 func (d *dispatch) lookup(ctx context.Context) *Reply {
+	if d.claim.Unassigned() {
+		return notRunReply(peerpb.Reason_REASON_UNSPECIFIED, "the key is given to no agent", 0)
+	}
 	if d.claim.DataCentre != d.options.DataCentre {
 		return d.lookupRemote(ctx)
 	}
@@ -151,6 +187,17 @@
 		return unknownReply("no entry of the data centre that the key was given to can be reached")
 	}
 	reply := d.sendToPeer(ctx, peers[rand.IntN(len(peers))])
+	if reply.Outcome == OutcomeNotRun && d.table.Load().Evacuated[d.claim.DataCentre] {
+		// The peer has taken the key back if the agent in the claim did not run it.
+		c, err := d.options.Claims.Read(ctx, d.request.Service, d.request.Key)
+		if err != nil {
+			return d.storeUnavailable(err)
+		}
+		if c.Unassigned() {
+			d.claim = c
+			return reply
+		}
+	}
 	if reply.Outcome == OutcomeNotRun {
 		// The peer did not run this request, but the agent in the claim may have run the key.
 		return unknownReply("the key was given to an agent of another data centre, which does not answer")
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -103,8 +103,13 @@
 	// eligible is the number of targets in the latest choice, and load the load of the chosen one.
 	eligible int
 	load     float64
-	// skippedYielding reports whether the latest choice left out yielding targets.
-	skippedYielding bool
+	// skippedYielding reports whether the latest choice left out yielding targets, skippedEvacuated
+	// whether it left out targets in evacuated data centres.
+	skippedYielding  bool
+	skippedEvacuated bool
+	// claimReleased is set once the key's claim has been looked at to send the request to another
+	// data centre; see releaseClaim.
+	claimReleased bool
 }
 
 // Serve sends the request to an upstream and returns its response, or the reason why there is
@@ -207,6 +212,11 @@
 // attempt sends the request once, in this data centre or to another one. It returns bestRefusal
 // if no target or peer entry is left.
 func (d *dispatch) attempt(ctx context.Context) *Reply {
+	if d.leavesDataCentre() && d.request.needsClaim() && !d.claimReleased {
+		if reply := d.releaseClaim(ctx); reply != nil {
+			return reply
+		}
+	}
 	target, reason := d.choose(false)
 	if spillPeer := d.spillPeer(target); spillPeer != nil {
 		return d.spill(ctx, spillPeer)
@@ -218,7 +228,11 @@
 	}
 	if target == nil {
 		if d.bestRefusal == nil {
-			d.bestRefusal = notRunReply(peerpb.Reason_REASON_NO_UPSTREAM, "no upstream of the service can take the request", time.Second)
+			detail := "no upstream of the service can take the request"
+			if d.skippedEvacuated {
+				detail += "; others are in evacuated data centres"
+			}
+			d.bestRefusal = notRunReply(peerpb.Reason_REASON_NO_UPSTREAM, detail, time.Second)
 		}
 		return d.bestRefusal
 	}
@@ -258,13 +272,16 @@
 // chooseUntried is choose without the targets that have been tried.
 func (d *dispatch) chooseUntried(includeYielding bool) (*Target, string) {
 	now := time.Now()
-	targets := d.table.Load().Services[d.request.Service]
+	table := d.table.Load()
+	targets := table.Services[d.request.Service]
 	eligible := make([]*Target, 0, len(targets))
 	snapshots := make([]driver.UpstreamSnapshot, 0, len(targets))
-	d.skippedYielding = false
+	d.skippedYielding, d.skippedEvacuated = false, false
 	for _, target := range targets {
 		switch {
 		case d.triedTargets[target] || !target.available(now):
+		case table.Evacuated[target.dataCentre]:
+			d.skippedEvacuated = true
 		case target.Yielding() && !includeYielding:
 			d.skippedYielding = true
 		default:
@@ -281,11 +298,15 @@
 	return eligible[i], d.service.picker.Name()
 }
 
+// leavesDataCentre reports whether this entry's data centre is evacuated.
+func (d *dispatch) leavesDataCentre() bool { return d.table.Load().Evacuated[d.options.DataCentre] }
+
 // spillPeer returns the entry to which the request is spilled, or nil. A request is spilled if
 // there is no local target, or its load has reached the threshold and a data centre with lower
-// load serves the service.
+// load serves the service. From an evacuated data centre it is spilled to the least loaded one, whatever
+// the load there, as it could be queued nowhere else.
 func (d *dispatch) spillPeer(target *Target) *PeerEntry {
-	if d.request.Spilled || d.claim != nil || (target != nil && d.load < d.service.routing.SpillAt) {
+	if d.request.Spilled || (d.claim != nil && !d.claim.Unassigned()) || (target != nil && d.load < d.service.routing.SpillAt) {
 		return nil
 	}
 	// Another entry may have assigned the key to an agent in this data centre, where a remote entry
@@ -294,18 +315,23 @@
 		return nil
 	}
 	var best *PeerEntry
-	peers := d.table.Load().PeersByService[d.request.Service]
+	table := d.table.Load()
+	peers := table.PeersByService[d.request.Service]
 	offset := 0
 	if len(peers) > 0 {
 		offset = rand.IntN(len(peers))
 	}
 	for k := range peers {
 		p := peers[(k+offset)%len(peers)]
-		if !d.triedPeers[p.ID] && p.Slots > 0 && (best == nil || p.load() < best.load()) {
+		if !d.triedPeers[p.ID] && p.Slots > 0 && !table.Evacuated[p.DataCentre] && (best == nil || p.load() < best.load()) {
 			best = p
 		}
 	}
-	if best == nil || best.load() >= d.service.routing.SpillAt || (target != nil && best.load() > d.load-spillMargin) {
+	if best == nil {
+		return nil
+	}
+	full := best.load() >= d.service.routing.SpillAt && (target != nil || !table.Evacuated[d.options.DataCentre])
+	if full || (target != nil && best.load() > d.load-spillMargin) {
 		return nil
 	}
 	return best
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -125,4 +125,6 @@
 	PeersByService map[string][]*PeerEntry
 	// PeersByDataCentre lists the entries in each other data centre.
 	PeersByDataCentre map[string][]*PeerEntry
+	// Evacuated is the set of data centres whose upstreams get no new requests.
+	Evacuated map[string]bool
 }
