Empty the cells of evacuated data centres

Its tasks wait in the cell until the data centre is taken back; new jobs go to cells elsewhere, and are refused at once if all data centres are evacuated, unless their key is that of an accepted job. An entry reads the document before it takes a cell, so that an owner which is lost right after the change has no successor that does not know it.

--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -51,12 +51,14 @@
 
 // Options configures an Owner.
 type Options struct {
-	Cell     string
-	Identity Identity
-	Store    driver.Store
-	Agents   driver.Agents
-	Placer   driver.Placer
-	Document func() *document.Document
+	Cell string
+	// DataCentre is the data centre of the cell's workers.
+	DataCentre string
+	Identity   Identity
+	Store      driver.Store
+	Agents     driver.Agents
+	Placer     driver.Placer
+	Document   func() *document.Document
 	// ReservedElsewhere returns what a team's tasks reserve in other cells; nil means nothing.
 	ReservedElsewhere func(team string) driver.Resources
 	// LargestWorkerElsewhere returns, for each kind of resource, the largest capacity of a worker in
@@ -108,9 +110,13 @@
 	overuse     *overuse
 	// lastYieldChange is when a worker last began to yield or a reclaim began.
 	lastYieldChange time.Time
-	placementDue    bool
-	stopped         bool
-	lastSweep       time.Time
+	// evacuatedSince is since when the cell's data centre is evacuated, or zero; emptied is set once no
+	// attempt was left then.
+	evacuatedSince time.Time
+	emptied        bool
+	placementDue   bool
+	stopped        bool
+	lastSweep      time.Time
 }
 
 // Take makes this process the owner of a cell. The caller must call Run next.
@@ -185,6 +191,7 @@
 	<-tickerDone
 	<-loopDone
 	o.calls.Wait()
+	o.options.Metrics.EvacuatedTasks.DeleteLabelValues(o.options.Cell)
 	o.log.Info("cell given up", "error", errs.Text(err))
 	return err
 }
@@ -230,6 +237,7 @@
 		o.retryStops(w, now)
 	}
 	o.applyGuards(now)
+	o.evacuate(now)
 	o.placeWaiting(now)
 	o.sweepJobs(now)
 }
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/loop"
+	"github.com/jasminebay/jasminebay/pkg/document"
 )
 
 const (
@@ -21,6 +21,7 @@
 	testMargin        = time.Second
 	testStoreSilence  = 20 * time.Second
 	testCell          = "test.0"
+	testDataCentre    = "test"
 	heartbeatInterval = 500 * time.Millisecond
 	startDelay        = 9 * time.Second
 	recoveryTime      = 5 * time.Minute
@@ -40,7 +41,7 @@
 	wait  time.Duration
 }
 
-var stepKinds = []string{"submit", "submit", "cut", "heal", "store-down", "store-up", "lose", "drop", "late", "cut", "heal", "crash", "zombie", "owner", "owner", "drain", "cancel"}
+var stepKinds = []string{"submit", "submit", "cut", "heal", "store-down", "store-up", "lose", "drop", "late", "cut", "heal", "crash", "zombie", "owner", "owner", "drain", "cancel", "evacuate", "take-back"}
 
 func drawSteps(t *rapid.T) []step {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
@@ -67,6 +68,19 @@
 }
 
 func simulate(steps []step, drifts []float64) []string {
+	sim := newSimulation(drifts)
+	jobs := map[string]bool{}
+	for i, s := range steps {
+		sim.applyStep(i, s, jobs)
+		time.Sleep(s.wait)
+	}
+	violations := sim.recoverAndCheck(jobs)
+	sim.end()
+	return append(violations, sim.violations...)
+}
+
+// newSimulation starts agents with the given clock drifts, which report at an interval, and an owner.
+func newSimulation(drifts []float64) *simulation {
 	sim := &simulation{store: &memoryStore{items: map[string]driver.Item{}}, finishedDurably: map[string]bool{}}
 	for i, drift := range drifts {
 		sim.agents = append(sim.agents, &testAgent{
@@ -74,10 +88,10 @@
 			attempts: map[string]*testAttempt{}, tombstones: map[string]bool{},
 		})
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	var reporters sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	sim.stopReports = cancel
 	for _, a := range sim.agents {
-		reporters.Go(func() {
+		sim.reporters.Go(func() {
 			for ctx.Err() == nil {
 				sim.report(a)
 				loop.Pause(ctx, heartbeatInterval)
@@ -85,19 +99,17 @@
 		})
 	}
 	sim.newOwner("first")
-	jobs := map[string]bool{}
-	for i, s := range steps {
-		sim.applyStep(i, s, jobs)
-		time.Sleep(s.wait)
-	}
-	violations := sim.recoverAndCheck(jobs)
-	stop()
-	reporters.Wait()
-	sim.delayedStarts.Wait()
-	for o := sim.newestOwner(); o != nil; o = sim.newestOwner() {
-		sim.crash(o)
+	return sim
+}
+
+// end stops the agents' reports and the owners.
+func (sm *simulation) end() {
+	sm.stopReports()
+	sm.reporters.Wait()
+	sm.delayedStarts.Wait()
+	for o := sm.newestOwner(); o != nil; o = sm.newestOwner() {
+		sm.crash(o)
 	}
-	return append(violations, sim.violations...)
 }
 
 func (sm *simulation) applyStep(i int, s step, jobs map[string]bool) {
@@ -145,6 +157,8 @@
 		sm.mu.Lock()
 		sm.agents[s.index].draining = true
 		sm.mu.Unlock()
+	case "evacuate", "take-back":
+		sm.evacuate(s.kind == "evacuate")
 	case "cancel":
 		for id := range jobs {
 			if o != nil {
@@ -157,6 +171,18 @@
 	}
 }
 
+func (sm *simulation) evacuate(evacuated bool) {
+	sm.mu.Lock()
+	defer sm.mu.Unlock()
+	switch {
+	case !evacuated:
+		sm.document.Store(nil)
+	case sm.document.Load() == nil:
+		sm.document.Store(&document.Document{DataCentres: []document.DataCentre{{Name: testDataCentre, Cells: 1, Evacuated: true}}})
+		sm.evacuatedAt = time.Now()
+	}
+}
+
 func (sm *simulation) reconnectAgents() {
 	sm.mu.Lock()
 	defer sm.mu.Unlock()
@@ -183,6 +209,7 @@
 // recoverAndCheck ends all faults, lets the last owner recover, and returns the violations.
 func (sm *simulation) recoverAndCheck(jobs map[string]bool) (violations []string) {
 	sm.reconnectAgents()
+	sm.evacuate(false)
 	sm.store.mu.Lock()
 	sm.store.down, sm.store.repliesToLose = false, 0
 	sm.store.mu.Unlock()
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -21,7 +21,7 @@
 // placeWaiting runs a placement round if anything has changed since the last one. It must run on
 // the loop.
 func (o *Owner) placeWaiting(now time.Time) {
-	if !o.control.placementDue || o.control.queue.size == 0 {
+	if !o.control.placementDue || o.control.queue.size == 0 || o.evacuated() {
 		return
 	}
 	o.control.placementDue = false
@@ -105,6 +105,10 @@
 	if w.assigned[a.task] != a {
 		return
 	}
+	if o.evacuated() {
+		o.endAttempt(w, a.task, a.attempt, cellpb.Ending_ENDING_NOT_STARTED, "", "the data centre is evacuated", time.Now())
+		return
+	}
 	command := &peerpb.StartTask{
 		Cell: o.options.Cell, Epoch: o.epoch, Term: w.term, Task: a.task, Attempt: a.attempt,
 		Resources: a.reserved.Proto(), Checkpoint: a.checkpoint, Class: a.class,
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/cell/cellpb"
@@ -56,6 +57,11 @@
 	delayedStarts sync.WaitGroup
 	// finishedDurably holds the tasks whose finish has been made durable by an owner.
 	finishedDurably map[string]bool
+	// document is the document of all owners; it is nil, or evacuates the data centre since evacuatedAt.
+	document    atomic.Pointer[document.Document]
+	evacuatedAt time.Time
+	reporters   sync.WaitGroup
+	stopReports context.CancelFunc
 }
 
 type testOwner struct {
@@ -111,7 +117,12 @@
 		})
 		return nil, errLost
 	}
-	return c.deliver(name, func(a *testAgent) *peerpb.TaskReply { return c.sim.start(a, s) })
+	return c.deliver(name, func(a *testAgent) *peerpb.TaskReply {
+		if c.sim.document.Load() != nil && time.Since(c.sim.evacuatedAt) > 0 {
+			c.sim.violations = append(c.sim.violations, s.GetTask()+" was started in an evacuated data centre")
+		}
+		return c.sim.start(a, s)
+	})
 }
 
 func (c agentClient) Stop(_ context.Context, name string, s *peerpb.StopTask) (*peerpb.TaskReply, error) {
@@ -269,8 +280,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	owner, err := Take(ctx, Options{
-		Cell: testCell, Identity: Identity{Entry: name}, Store: o.store, Agents: agentClient{sm, o}, Placer: place.LeastLoaded{},
-		Document: func() *document.Document { return nil }, Grant: testGrant, Margin: testMargin, StoreSilence: testStoreSilence,
+		Cell: testCell, DataCentre: testDataCentre, Identity: Identity{Entry: name}, Store: o.store, Agents: agentClient{sm, o}, Placer: place.LeastLoaded{},
+		Document: sm.document.Load, Grant: testGrant, Margin: testMargin, StoreSilence: testStoreSilence,
 		Retention: time.Hour, Log: discardLog, Metrics: telemetry.NewMetrics(),
 	})
 	if err != nil {
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/errs"
 	"github.com/jasminebay/jasminebay/internal/loop"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
@@ -53,6 +54,13 @@
 	}
 }
 
+// Refresh puts the document in force that the key-value service has now, unless it is not newer.
+func (w *Watcher) Refresh(ctx context.Context) (err error) {
+	defer errs.Annotate(&err, "config: refresh")
+	_, err = w.poll(ctx, 0)
+	return err
+}
+
 // poll waits for a change after the given revision of the store and reads the document. It
 // does not wait if after is 0. It returns the revision to wait on next.
 func (w *Watcher) poll(ctx context.Context, after uint64) (uint64, error) {
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -298,10 +298,16 @@
 	return c.headOwners[name].since
 }
 
-// takeOver takes ownership of a cell and starts its owner.
+// takeOver takes ownership of a cell and starts its owner. It reads the document first, so that the owner
+// does not start tasks in a data centre that was evacuated just before its predecessor was lost.
 func (c *cells) takeOver(ctx context.Context, name string) {
+	if err := c.entry.options.Watcher.Refresh(ctx); err != nil {
+		c.entry.options.Metrics.StoreErrors.WithLabelValues("get").Inc()
+		c.entry.log.Warn("cell takeover failed", "cell", name, "error", err.Error())
+		return
+	}
 	owner, err := cell.Take(ctx, cell.Options{
-		Cell:     name,
+		Cell: name, DataCentre: dataCentreOf(name),
 		Identity: cell.Identity{Entry: c.entry.instance, Address: c.entry.options.Advertise},
 		Store:    c.entry.options.Store, Agents: c.entry, Placer: c.entry.options.Placer,
 		Document:               c.entry.options.Holder.Document,
--- a/internal/entry/cells_test.go
+++ b/internal/entry/cells_test.go
@@ -46,9 +46,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			store := kv.New(kv.Options{Address: "http://kv", Timeout: time.Second, Transport: handlerTransport{standin.New(standin.Options{}).Handler()}})
+			holder := exampleHolder(t)
 			e := New(Options{
 				ID: "entry-1", DataCentre: "zuerich-a", Store: store, Placer: place.NewPairScore(func() place.Weights { return place.Weights{} }),
-				Holder: exampleHolder(t), Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(),
+				Holder: holder, Watcher: newWatcher(store, holder), Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(),
 				Grant: time.Second, Margin: time.Second, StoreSilence: time.Second,
 			})
 			go e.loop.Run(ctx)
@@ -75,6 +76,10 @@
 	return h
 }
 
+func newWatcher(store driver.Store, h *config.Holder) *config.Watcher {
+	return &config.Watcher{Store: store, Holder: h, Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics()}
+}
+
 // runCommand runs one command of a script.
 func runCommand(t *testing.T, ctx context.Context, e *Entry, store driver.Store, words []string) {
 	switch words[0] {
@@ -227,8 +232,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := kv.New(kv.Options{Address: "http://kv", Timeout: time.Second, Transport: handlerTransport{standin.New(standin.Options{}).Handler()}})
+		holder := exampleHolder(t)
 		e := New(Options{
-			ID: "entry-1", DataCentre: "zuerich-a", Store: store, Placer: place.LeastLoaded{}, Holder: exampleHolder(t),
+			ID: "entry-1", DataCentre: "zuerich-a", Store: store, Placer: place.LeastLoaded{}, Holder: holder, Watcher: newWatcher(store, holder),
 			Log: slog.New(slog.DiscardHandler), Metrics: telemetry.NewMetrics(), Grant: time.Minute, Margin: time.Second, StoreSilence: time.Minute,
 		})
 		go e.loop.Run(ctx)
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -35,6 +35,12 @@
 	return evacuated
 }
 
+// allEvacuated reports whether the document evacuates all data centres.
+func (e *Entry) allEvacuated() bool {
+	d := e.options.Holder.Document()
+	return d != nil && len(d.DataCentres) > 0 && len(evacuatedDataCentres(d)) == len(d.DataCentres)
+}
+
 // followEvacuations logs each change of the evacuated data centres and routes requests accordingly,
 // until ctx ends.
 func (e *Entry) followEvacuations(ctx context.Context) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -77,15 +77,24 @@
 	ctx, cancel := context.WithTimeout(r.Request.Context(), jobCallTimeout)
 	defer cancel()
 	name := e.awaitCell(ctx, job)
-	if name == "" {
+	switch {
+	case name == "" && e.allEvacuated() && key != "":
+		// The key may be that of a job that was accepted before.
+		job.Id, err = e.jobOfKey(ctx, key)
+	case name != "" && key != "":
+		job.Id, err = e.claimJobKey(ctx, key, newJobID(name))
+	case name != "":
+		job.Id = newJobID(name)
+	}
+	if err == nil && job.GetId() == "" {
+		detail := "no cell is known that could take the job"
+		if e.allEvacuated() {
+			detail = "all data centres are evacuated"
+		}
 		problem.RetryAfter(w, jobRetryAfter)
-		problem.Send(w, problem.Problem{Type: "no-cell", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "no cell is known that could take the job"})
+		problem.Send(w, problem.Problem{Type: "no-cell", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: detail})
 		return
 	}
-	job.Id = name + "-" + strconv.FormatUint(rand.Uint64(), 36)
-	if key != "" {
-		job.Id, err = e.claimJobKey(ctx, key, job.GetId())
-	}
 	if err != nil {
 		problem.RetryAfter(w, jobRetryAfter)
 		problem.Send(w, problem.Problem{Type: "not-durable", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeUnknown, Detail: "the idempotency key can't be checked now; repeat with the same key"})
@@ -100,6 +109,8 @@
 	writeReply(w, e.callJob(ctx, &peerpb.JobCall{Operation: operationSubmit, Cell: cellOfJob(job.GetId()), Job: job.GetId(), Body: body}))
 }
 
+func newJobID(cell string) string { return cell + "-" + strconv.FormatUint(rand.Uint64(), 36) }
+
 // cellOfJob returns the cell that a job's id names.
 func cellOfJob(job string) string {
 	i := strings.LastIndexByte(job, '-')
@@ -107,13 +118,14 @@
 }
 
 // awaitCell returns the cell for a new job. While cells change their owners it waits for one that is
-// known, until ctx ends. It returns "" if there is none by then, or if the document has no cells.
+// known, until ctx ends. It returns "" if there is none by then, or if the document has no cells or
+// evacuates all data centres.
 func (e *Entry) awaitCell(ctx context.Context, job *cellpb.Job) string {
 	for {
 		if name := e.chooseCell(job); name != "" {
 			return name
 		}
-		if d := e.options.Holder.Document(); d != nil && d.TotalCells() == 0 {
+		if d := e.options.Holder.Document(); d != nil && d.TotalCells() == 0 || e.allEvacuated() {
 			return ""
 		}
 		loop.Pause(ctx, ownerPollInterval)
@@ -125,7 +137,8 @@
 
 // chooseCell returns the cell for a new job, or "" if no cell is known. It prefers cells with a
 // worker large enough for the job's largest task, then those of this data centre with enough free
-// CPU for that task, then those with the most free CPU and the fewest waiting tasks.
+// CPU for that task, then those with the most free CPU and the fewest waiting tasks. Cells of evacuated
+// data centres are left out.
 func (e *Entry) chooseCell(job *cellpb.Job) string {
 	var need driver.Resources
 	for _, t := range job.GetTasks() {
@@ -134,7 +147,11 @@
 	}
 	e.cells.loads()
 	best, bestScore := "", int64(0)
+	d := e.options.Holder.Document()
 	e.cells.eachLoadExcept("", func(l *peerpb.CellLoad) {
+		if d.Evacuated(dataCentreOf(l.GetCell())) {
+			return
+		}
 		score := l.GetFree().GetMilliCpu() - int64(l.GetWaiting())
 		if need.Fits(driver.ResourcesFromProto(l.GetLargest())) {
 			score += 1 << 50
@@ -158,7 +175,7 @@
 // that it is bound to.
 func (e *Entry) claimJobKey(ctx context.Context, key, id string) (claimed string, err error) {
 	defer errs.Annotate(&err, "entry: claim job")
-	path := "job-keys/" + strconv.FormatUint(xxhash.Sum64String(key), 36) + strconv.FormatUint(xxhash.Sum64String(key+"\x00"), 36)
+	path := jobKeyPath(key)
 	value, err := json.Marshal(jobKeyRecord{Job: id})
 	if err != nil {
 		return "", err
@@ -174,7 +191,20 @@
 	if !errors.Is(err, driver.ErrConflict) && !errors.Is(err, driver.ErrIndeterminate) {
 		return "", err
 	}
-	item, err := e.options.Store.Get(ctx, path)
+	return e.jobOfKey(ctx, key)
+}
+
+func jobKeyPath(key string) string {
+	return "job-keys/" + strconv.FormatUint(xxhash.Sum64String(key), 36) + strconv.FormatUint(xxhash.Sum64String(key+"\x00"), 36)
+}
+
+// jobOfKey returns the id of the job that an idempotency key is bound to, or "" if there is none.
+func (e *Entry) jobOfKey(ctx context.Context, key string) (id string, err error) {
+	defer errs.Annotate(&err, "entry: read job key")
+	item, err := e.options.Store.Get(ctx, jobKeyPath(key))
+	if errors.Is(err, driver.ErrNotFound) {
+		return "", nil
+	}
 	if err != nil {
 		return "", err
 	}
