--- a/internal/scenario/faults_test.go
+++ b/internal/scenario/faults_test.go
@@ -22,8 +22,13 @@
 // cmdSignal sends a signal to processes, and for kill and term waits until they have exited:
 //
 //	signal kill|term|freeze|thaw NAME...
+//
+// The name owner:CELL stands for the live entry that took over the cell last.
 func cmdSignal(s *system, a arguments) (string, error) {
 	for _, name := range a.positional[1:] {
+		if cell, ok := strings.CutPrefix(name, "owner:"); ok {
+			name = s.ownerOf(cell)
+		}
 		p := s.processes[name]
 		if p == nil {
 			return "", fmt.Errorf("unknown process %q", name)
--- a/internal/scenario/main_test.go
+++ b/internal/scenario/main_test.go
@@ -59,7 +59,7 @@
 			"link": scriptCommand(cmdLink), "fault": scriptCommand(cmdFault), "submit": scriptCommand(cmdSubmit),
 			"await": scriptCommand(cmdAwait), "job": scriptCommand(cmdJob), "apply": scriptCommand(cmdApply), "race": scriptCommand(cmdRace), "promote": scriptCommand(cmdPromote),
 			"inforce": scriptCommand(cmdInForce), "sleep": scriptCommand(cmdSleep), "ready": scriptCommand(cmdReady),
-			"owners": scriptCommand(cmdOwners), "logged": scriptCommand(cmdLogged), "runs": scriptCommand(cmdRuns), "loads": scriptCommand(cmdLoads), "reserved": scriptCommand(cmdReserved),
+			"owners": scriptCommand(cmdOwners), "starts": scriptCommand(cmdStarts), "logged": scriptCommand(cmdLogged), "runs": scriptCommand(cmdRuns), "loads": scriptCommand(cmdLoads), "reserved": scriptCommand(cmdReserved),
 			"load": scriptCommand(cmdLoad), "operate": scriptCommand(cmdOperate), "tasks": scriptCommand(cmdTasks), "raw": scriptCommand(cmdRaw), "calls": scriptCommand(cmdCalls), "amplification": scriptCommand(cmdAmplification),
 		},
 	})
--- a/internal/scenario/probes_test.go
+++ b/internal/scenario/probes_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/jasminebay/jasminebay/internal/standin/worker"
 	"github.com/jasminebay/jasminebay/pkg/client"
 )
 
@@ -71,6 +72,51 @@
 	return fmt.Errorf("no live entry has logged a takeover of cell %s in epoch %s", cell, cmp.Or(epoch, "any"))
 }
 
+// ownerOf returns the live entry that has logged the takeover of a cell in the highest epoch, or "".
+func (s *system) ownerOf(cell string) (owner string) {
+	pattern := regexp.MustCompile(`"msg":"cell taken".*"cell":"` + regexp.QuoteMeta(cell) + `","epoch":([0-9]+)`)
+	newest := 0
+	for _, name := range s.liveEntries() {
+		text, _ := s.readLog(name)
+		for _, match := range pattern.FindAllStringSubmatch(text, -1) {
+			if epoch, _ := strconv.Atoi(match[1]); epoch > newest {
+				owner, newest = name, epoch
+			}
+		}
+	}
+	return owner
+}
+
+// cmdStarts prints the number of requests and tasks that were started in a data centre. With quiet it
+// fails if one was started within that time:
+//
+//	starts DATA-CENTRE [quiet=]
+func cmdStarts(s *system, a arguments) (string, error) {
+	quiet := a.duration("quiet", 0)
+	requests, tasks := 0, 0
+	for name, m := range s.machines {
+		if m.dataCentre != a.arg(0) {
+			continue
+		}
+		for _, r := range m.upstream.Record().Runs {
+			requests++
+			if age := time.Since(r.Started); age < quiet {
+				return "", fmt.Errorf("request %s started on %s %v ago", r.ID, name, age)
+			}
+		}
+		for _, e := range m.worker.Events() {
+			if e.Kind != worker.EventStart {
+				continue
+			}
+			tasks++
+			if age := time.Since(e.At); age < quiet {
+				return "", fmt.Errorf("task %s started on %s %v ago", e.Task, name, age)
+			}
+		}
+	}
+	return fmt.Sprintf("requests=%d tasks=%d\n", requests, tasks), nil
+}
+
 // readLog returns the log of a process since its first start.
 func (s *system) readLog(name string) (string, error) {
 	data, err := os.ReadFile(s.processes[name].logPath)
