--- a/internal/route/evacuation_test.go
+++ b/internal/route/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/jasminebay/jasminebay/internal/claim"
 	"github.com/jasminebay/jasminebay/internal/driver/kv"
 	"github.com/jasminebay/jasminebay/internal/driver/pick"
+	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/peer/peerpb"
 	standin "github.com/jasminebay/jasminebay/internal/standin/kv"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
@@ -122,3 +124,79 @@
 		is.Equal(dispatchOf("gone", true).run(t.Context()).Outcome, OutcomeUnknown)
 	})
 }
+
+// sessionTo returns a session to a server that answers the first frame of each stream by serve.
+func sessionTo(t *testing.T, serve func(*peerpb.Frame) *peerpb.Frame) *peer.Session {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		server, err := peer.ServerSession(conn)
+		if err != nil {
+			return
+		}
+		defer server.Close()
+		for {
+			stream, err := server.AcceptStream()
+			if err != nil {
+				return
+			}
+			if f, err := stream.Receive(); err == nil {
+				_ = stream.Send(serve(f))
+			}
+			stream.Close()
+		}
+	}()
+	s, err := peer.Connect(t.Context(), l.Addr().String(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		s.Close()
+		_ = l.Close()
+		<-done
+	})
+	return s
+}
+
+// TestKeyIsTakenBack guards against a key that is told unknown everywhere while a data centre is evacuated,
+// although its agent there has proved that it did not run.
+func TestKeyIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	store := kv.New(kv.Options{Address: "http://kv", Timeout: time.Second, Transport: handlerTransport{standin.New(standin.Options{}).Handler()}})
+	o := Options{Claims: claim.New(store), Metrics: telemetry.NewMetrics(), Log: slog.New(slog.DiscardHandler)}
+	request := func(spilled bool) *Request {
+		return &Request{Service: "s", Key: "k", Spilled: spilled, Deadline: time.Now().Add(5 * time.Second)}
+	}
+	_, _, err := o.Claims.Create(t.Context(), claim.Claim{Service: "s", Key: "k", Agent: "a", DataCentre: "here", Incarnation: 7, Generation: 1})
+	is.NoErr(err)
+	agent := NewTarget("a", "here", "s", 7, sessionTo(t, func(f *peerpb.Frame) *peerpb.Frame {
+		is.True(f.GetLookup().GetId() != "")
+		return peer.RefusalFrame(&peerpb.Refusal{Reason: peerpb.Reason_REASON_CANCELLED})
+	}))
+	agent.Update(time.Now(), &peerpb.UpstreamState{Slots: 8, Ready: true}, true)
+	evacuated := &Table{Services: map[string][]*Target{"s": {agent}}, Evacuated: map[string]bool{"here": true}}
+	here := sessionTo(t, func(f *peerpb.Frame) *peerpb.Frame {
+		is.True(f.GetRequestHead().GetSpilled())
+		reply := newDispatch(o, evacuated, request(true)).run(t.Context())
+		is.Equal(reply.Outcome, OutcomeNotRun)
+		return peer.RefusalFrame(&peerpb.Refusal{Reason: reply.Reason})
+	})
+
+	d := newDispatch(o, &Table{
+		PeersByDataCentre: map[string][]*PeerEntry{"here": {{ID: "p", DataCentre: "here", Session: here}}}, Evacuated: map[string]bool{"here": true},
+	}, request(false))
+	d.options.DataCentre = "there"
+	is.True(d.acquireClaim(t.Context(), NewTarget("b", "there", "s", 1, nil)) == nil)
+	c, err := o.Claims.Read(t.Context(), "s", "k")
+	is.NoErr(err)
+	is.Equal(c.Agent, "b")
+	is.Equal(c.Generation, uint64(3)) // taken back, then given to b
+}
