Let clients of the experiment come back in whole seconds, and early

Refused callers wait the seconds of Retry-After, come back up to 30% before, and retry four times, whatever time has passed.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/jasminebay/jasminebay/examples"
 	"github.com/jasminebay/jasminebay/internal/flow/engine"
+	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 )
 
 // smallLoad returns the example load with few runners and a short length.
@@ -90,6 +93,21 @@
 	is.Equal(a.EarnedShare, b.EarnedShare)
 }
 
+// TestClientsComeBackEarly guards against clients that know the time to the millisecond and so never come
+// before their room, which hides that early retries are used up.
+func TestClientsComeBackEarly(t *testing.T) {
+	is := is.New(t)
+	sim := &simulation{load: &Load{Clients: Clients{MaxRetries: 4, Early: 0.3}}}
+	earliest, latest := time.Hour, time.Duration(0)
+	for i := range 200 {
+		c := &client{submissions: 1, arrival: &Arrival{Job: &flowpb.Job{Id: fmt.Sprint(i)}}}
+		delay := c.retryDelay(sim, 1200*time.Millisecond)
+		earliest, latest = min(earliest, delay), max(latest, delay)
+	}
+	is.True(earliest >= 1400*time.Millisecond && earliest < 1450*time.Millisecond)
+	is.True(latest <= 2*time.Second && latest > 1950*time.Millisecond)
+}
+
 func TestBadInput(t *testing.T) {
 	is := is.New(t)
 	l := smallLoad(t)
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -130,11 +130,13 @@
 	Amplitude float64 `json:"swing"`
 }
 
-// Clients describes how clients react to a refusal: they submit the job again up to MaxRetries
-// times, unless RetryTimeout would have passed since the first submission.
+// Clients describes how clients react to a refusal: they submit the job again under the same id up to
+// MaxRetries times, unless RetryTimeout would have passed since the first submission; 0 is no limit. They
+// are told the time in whole seconds and come back up to the share Early of it earlier.
 type Clients struct {
 	MaxRetries   int               `json:"retries"`
 	RetryTimeout document.Duration `json:"patience"`
+	Early        float64           `json:"early"`
 }
 
 // Limits of a load, so that a simulation ends in a reasonable time.
@@ -166,6 +168,9 @@
 	if l.Runners.PerRack < 1 {
 		add("$.runners.per-rack", "%d is not above 0", l.Runners.PerRack)
 	}
+	if l.Clients.Early < 0 || l.Clients.Early >= 1 {
+		add("$.clients.early", "%g is not in 0 to 1", l.Clients.Early)
+	}
 	queues := map[string]bool{}
 	for i := range l.Streams {
 		s := &l.Streams[i]
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -273,14 +273,28 @@
 		if c.arrival.Lifetime > 0 {
 			sim.schedule(c, sim.now+c.arrival.Lifetime)
 		}
-	case c.submissions <= sim.load.Clients.MaxRetries && sim.now+reply.RetryAfter-c.submittedAt < sim.load.Clients.RetryTimeout.D():
+	case c.submissions <= sim.load.Clients.MaxRetries && sim.isPatient(c, reply.RetryAfter):
 		sim.counters.retries++
-		sim.schedule(c, sim.now+reply.RetryAfter)
+		sim.schedule(c, sim.now+c.retryDelay(sim, reply.RetryAfter))
 	default:
 		c.refused = true
 	}
 }
 
+// isPatient reports whether a client that is told to come back after a time does so.
+func (sm *simulation) isPatient(c *client, after time.Duration) bool {
+	limit := sm.load.Clients.RetryTimeout.D()
+	return limit == 0 || sm.now+after-c.submittedAt < limit
+}
+
+// retryDelay returns how long a client waits that is told to come back after a time. The time is sent in
+// whole seconds, rounded up.
+func (c *client) retryDelay(sim *simulation, after time.Duration) time.Duration {
+	told := max(1, (after+time.Second-1)/time.Second) * time.Second
+	early := sim.load.Clients.Early * hashFraction(c.arrival.Job.GetId()+strconv.Itoa(c.submissions))
+	return time.Duration(float64(told) * (1 - early)).Round(timeStep)
+}
+
 // schedule inserts a client into pending, which is ordered by nextAction.
 func (sm *simulation) schedule(c *client, due time.Duration) {
 	c.nextAction = due
