Give refused callers a place, and admit them in its time before newcomers

Demand above the capacity for seconds left refused callers to chance: each retry was a newcomer, all that were refused together were told the same second, and with 1 s the four retries were used up within 3 s. The owner now keeps a place for each refused job: places follow each other as the expected capacity takes their work, newcomers leave room for them, and a caller that returns in its time is admitted. The objective counts from the first attempt. While the store fails, retries are spread by the job's id from 1 to 4 s.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -17,9 +17,10 @@
 	// usableCapacityShare is the share of the runners' processors that is assumed to be available
 	// to the backlog.
 	usableCapacityShare = 0.75
-	// minRetryAfter and maxRetryAfter bound the retry time of a refused job.
+	// minRetryAfter and maxRetryAfter bound the retry time of a refused job. Nothing is known of the
+	// capacity in more than a minute.
 	minRetryAfter = time.Second
-	maxRetryAfter = 10 * time.Second
+	maxRetryAfter = time.Minute
 	// warmUpTime is how long runners may take to report to a new owner. No job is refused for
 	// lack of capacity before.
 	warmUpTime = 1500 * time.Millisecond
@@ -64,31 +65,68 @@
 		e.markDirty(j)
 		return
 	}
-	refuse := func(status flowpb.Status, after time.Duration, reason string) {
-		e.options.Log.Info("job refused", "job", def.GetId(), "queue", def.GetQueue(), "status", status.String(), "reason", reason, "retry-after-ms", after.Milliseconds(), "open", len(e.openJobs))
-		e.reply(Reply{Call: call, Status: status, RetryAfter: after, Detail: reason})
-	}
 	q := e.queueFor(def)
 	if err := Validate(def); err != nil {
-		refuse(flowpb.Status_STATUS_INVALID, 0, err.Error())
+		e.logRefusal(def, flowpb.Status_STATUS_INVALID, err.Error())
+		e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_INVALID, Detail: err.Error()})
 		return
 	}
+	def.Terms = q.Terms()
+	j := &job{def: def, queue: q, pendingSubmits: []uint64{call}}
+	e.countFromFirstAttempt(j, now)
+	first := newOccurrence(j, 0, now.Monotonic)
+	a, sheddable := e.attempt(j, first)
+	e.returnCounts.count(e.places.byID[a.id].timing(now.Monotonic))
 	if e.storeFailing {
-		refuse(flowpb.Status_STATUS_UNAVAILABLE, minRetryAfter, "the store does not take writes")
+		e.refuse(j, a, a.load, now)
 		return
 	}
-	def.Terms = q.Terms()
-	def.AcceptedUnixMillis = now.UnixMillis
-	j := &job{def: def, queue: q, arrivedAt: now.Monotonic, pendingSubmits: []uint64{call}}
-	first := newOccurrence(j, 0, now.Monotonic)
-	if load, sheddable := e.admissionLoad(j, first); sheddable && e.warmedUp(now.Monotonic) && !e.options.Policy.NoShedding {
-		if ok, after := Admit(load); !ok {
-			refuse(flowpb.Status_STATUS_REJECTED, after, fmt.Sprintf("overload: %.0f core-seconds wait for %d cores, a wait of %.0f ms is allowed", load.Backlog/1e6, load.MilliCPU/1000, load.AllowedMillis))
+	if sheddable && e.warmedUp(now.Monotonic) && !e.options.Policy.NoShedding {
+		if ok, load := e.places.decide(a, now.Monotonic); !ok {
+			e.refuse(j, a, load, now)
 			return
 		}
 	}
+	e.places.drop(a.id)
 	e.addJob(j, first, now)
-	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.criticalPathMillis(), "open", len(e.openJobs))
+	e.options.Log.Info("job accepted", "job", j.id(), "queue", q.Name, "steps", len(def.GetSteps()), "chain-ms", first.criticalPathMillis(), "waited-ms", (now.Monotonic - j.arrivedAt).Milliseconds(), "open", len(e.openJobs))
+}
+
+// countFromFirstAttempt makes the objective of a job count from the first attempt of its caller, for the next
+// owner as well.
+func (e *Engine) countFromFirstAttempt(j *job, now Timestamp) {
+	j.arrivedAt = e.places.firstAttempt(j.id(), now.Monotonic)
+	j.def.AcceptedUnixMillis = now.UnixMillis - (now.Monotonic - j.arrivedAt).Milliseconds()
+}
+
+// attempt returns the attempt to submit a job, and whether the job may be shed.
+func (e *Engine) attempt(j *job, first *occurrence) (a attempt, sheddable bool) {
+	a = attempt{id: j.id(), service: j.queue.Service, priority: j.queue.Priority, bestEffort: j.bestEffort()}
+	if a.load, sheddable = e.admissionLoad(j, first); sheddable {
+		a.work = e.expectedWork(j, first)
+		objectiveMillis := j.queue.Stretch*a.load.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
+		a.servedFor = saturate.Of(a.load.AllowedMillis-a.load.CriticalPathMillis, time.Millisecond)
+		a.usefulFor = saturate.Of(e.options.LateFactor*objectiveMillis, time.Millisecond)
+	}
+	return a, sheddable
+}
+
+// refuse refuses the calls that wait for a job to be accepted, and gives their caller a place.
+func (e *Engine) refuse(j *job, a attempt, l Load, now Timestamp) {
+	status, reason := flowpb.Status_STATUS_UNAVAILABLE, "the store does not take writes"
+	if !e.storeFailing {
+		status = flowpb.Status_STATUS_REJECTED
+		reason = fmt.Sprintf("overload: %.0f core-seconds wait for %d cores, a wait of %.0f ms is allowed", l.Backlog/1e6, l.MilliCPU/1000, l.AllowedMillis)
+	}
+	p, after := e.places.refuse(a, l, !e.storeFailing, now.Monotonic)
+	e.logRefusal(j.def, status, reason, "retry-after-ms", after.Milliseconds(), "place-in-ms", (p.due - now.Monotonic).Milliseconds(), "returns", p.refusals-1, "keeps-others-out", p.holds, "places", len(e.places.ordered))
+	for _, call := range append(j.pendingSubmits, j.pendingCancels...) {
+		e.reply(Reply{Call: call, Status: status, RetryAfter: after, Detail: reason})
+	}
+}
+
+func (e *Engine) logRefusal(def *flowpb.Job, status flowpb.Status, reason string, more ...any) {
+	e.options.Log.Info("job refused", append([]any{"job", def.GetId(), "queue", def.GetQueue(), "status", status.String(), "reason", reason, "open", len(e.openJobs)}, more...)...)
 }
 
 // queueFor returns the queue of a job, as it is configured or as the job's terms describe it, whichever is newer. The
@@ -119,6 +157,7 @@
 func (e *Engine) ProcessInboxItem(name string, item *flowpb.Handed, now Timestamp) {
 	def := item.GetJob()
 	if def == nil {
+		e.places.drop(item.GetCancel())
 		j := e.jobs[item.GetCancel()]
 		if j == nil {
 			e.dropInboxItem(name)
@@ -148,6 +187,10 @@
 	def.Terms = q.Terms()
 	j := &job{def: def, queue: q, inboxItems: []string{name}}
 	j.arrivedAt = now.Monotonic - saturate.Millis(max(0, now.UnixMillis-def.GetAcceptedUnixMillis()))
+	if e.places.byID[j.id()] != nil {
+		e.countFromFirstAttempt(j, now)
+		e.places.drop(j.id())
+	}
 	e.options.Log.Info("job accepted from inbox", "job", j.id(), "queue", def.GetQueue(), "age-ms", (now.Monotonic - j.arrivedAt).Milliseconds())
 	e.addJob(j, newOccurrence(j, 0, now.Monotonic), now)
 }
@@ -223,9 +266,7 @@
 	if bestEffort && e.throughput > 0 {
 		l.MilliCPU = min(l.MilliCPU, int64(e.throughput))
 	}
-	for _, s := range first.steps {
-		l.Backlog += float64(s.def.GetCount()) * e.estimates.expectedMillis(j.queue.Name, estimateMillis(s.def)) * float64(s.def.GetMilliCpu())
-	}
+	l.Backlog += e.expectedWork(j, first)
 	l.CriticalPathMillis = e.estimates.expectedMillis(j.queue.Name, first.criticalPathMillis())
 	l.AllowedMillis = j.queue.Stretch*l.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
 	if !bestEffort {
@@ -236,6 +277,15 @@
 	return l, true
 }
 
+// expectedWork returns the expected work of an occurrence that has not begun, in thousandths of a processor
+// times milliseconds.
+func (e *Engine) expectedWork(j *job, o *occurrence) (work float64) {
+	for _, s := range o.steps {
+		work += float64(s.def.GetCount()) * e.estimates.expectedMillis(j.queue.Name, estimateMillis(s.def)) * float64(s.def.GetMilliCpu())
+	}
+	return work
+}
+
 // minQueueingDelay is how long a task must have waited to count as queued.
 const minQueueingDelay = 200 * time.Millisecond
 
@@ -311,6 +361,7 @@
 // Cancel cancels a job unless it has ended. The call is answered once the job's outcome is
 // durable.
 func (e *Engine) Cancel(call uint64, id string, now Timestamp) {
+	e.places.drop(id)
 	j := e.jobs[id]
 	if j == nil {
 		e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_NOT_FOUND})
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -88,13 +88,17 @@
 	estimates      durationBiases
 	interference   interferenceModel
 	throughput     throughput
+	// places are those of refused callers, returnCounts counts their retries since TakeReturnCounts was
+	// called.
+	places       places
+	returnCounts ReturnCounts
 }
 
 // New returns an Engine without jobs.
 func New(o Options) *Engine {
 	return &Engine{
 		options: o, grantUntil: o.AcquiredAt + o.Lease, jobs: map[string]*job{}, openJobs: map[string]*job{}, workers: map[string]*worker{},
-		queues: map[string]Queue{}, lastToken: o.Epoch << tokenEpochShift, estimates: durationBiases{}, interference: interferenceModel{},
+		queues: map[string]Queue{}, lastToken: o.Epoch << tokenEpochShift, estimates: durationBiases{}, interference: interferenceModel{}, places: places{byID: map[string]*place{}},
 		effects: Effects{Orders: map[string]*flowpb.Orders{}},
 	}
 }
@@ -185,7 +189,7 @@
 // SetStoreFailing records that commits fail. It refuses the jobs that are neither stored, nor in
 // a batch that may have been stored, nor in the inbox; new jobs are refused as well until
 // SetStoreRecovered is called.
-func (e *Engine) SetStoreFailing() {
+func (e *Engine) SetStoreFailing(now Timestamp) {
 	if e.storeFailing {
 		return
 	}
@@ -196,10 +200,8 @@
 			kept = append(kept, j)
 			continue
 		}
-		e.options.Log.Info("job refused", "job", j.id(), "queue", j.queue.Name, "reason", "the store does not take writes")
-		for _, call := range append(j.pendingSubmits, j.pendingCancels...) {
-			e.reply(Reply{Call: call, Status: flowpb.Status_STATUS_UNAVAILABLE, RetryAfter: minRetryAfter})
-		}
+		a, _ := e.attempt(j, newOccurrence(j, 0, now.Monotonic))
+		e.refuse(j, a, a.load, now)
 		j.eachRun(func(r *run) { r.worker.detach(r) })
 		delete(e.jobs, j.id())
 		delete(e.openJobs, j.id())
@@ -267,6 +269,7 @@
 		e.lastExpiry = now.Monotonic
 		e.expireJobs(now)
 	}
+	e.returnCounts.Expired += e.places.expire(now.Monotonic)
 	e.measureThroughput(now.Monotonic)
 	e.adjustPaces(now.Monotonic)
 	e.evacuate(now.Monotonic)
@@ -362,14 +365,15 @@
 }
 
 // Stats holds counts for metrics. Synced counts the workers whose runner has listed its runs
-// under the current token.
+// under the current token, Places the refused callers whose retry is expected.
 type Stats struct {
-	Jobs, Open, Workers, Synced, Runs int
+	Jobs, Open, Workers, Synced, Runs, Places int
 }
 
 // Stats returns the current counts of jobs, workers and live runs.
 func (e *Engine) Stats() (s Stats) {
 	s.Jobs, s.Open, s.Workers = len(e.jobs), len(e.openJobs), len(e.workers)
+	s.Places = len(e.places.ordered)
 	for _, w := range e.workers {
 		s.Runs += w.runs.len()
 		if w.synced {
@@ -379,6 +383,13 @@
 	return s
 }
 
+// TakeReturnCounts returns the counts of retries since the last call.
+func (e *Engine) TakeReturnCounts() ReturnCounts {
+	out := e.returnCounts
+	e.returnCounts = ReturnCounts{}
+	return out
+}
+
 // ConnectedAgents returns the number of agents with an open session.
 func (e *Engine) ConnectedAgents() (connected int) {
 	for _, w := range e.workers {
--- a/internal/flow/engine/rebuild_test.go
+++ b/internal/flow/engine/rebuild_test.go
@@ -46,6 +46,7 @@
 					w.commitAll()
 				}
 			},
+			"return": func(t *rapid.T) { w.drawReturn(t) },
 			"hand": func(t *rapid.T) {
 				if job := w.drawJob(t); job != nil {
 					w.hand(job.GetId(), &flowpb.Handed{Job: job})
@@ -179,6 +180,29 @@
 	return job
 }
 
+// drawReturn has a caller submit a job during an outage of the store, and again after it.
+func (w *rebuildWorld) drawReturn(t *rapid.T) {
+	job := w.drawJob(t)
+	if job == nil {
+		return
+	}
+	firstAt := w.now.Monotonic
+	w.engine.SetStoreFailing(w.now)
+	w.lastCall++
+	w.engine.Submit(w.lastCall, proto.CloneOf(job), w.now)
+	w.engine.SetStoreRecovered()
+	w.wait(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * testTick)
+	if w.engine.jobs[job.GetId()] != nil {
+		t.Fatalf("job %s was refused and is known", job.GetId())
+	}
+	w.lastCall++
+	w.engine.Submit(w.lastCall, job, w.now)
+	w.commitAll()
+	if j := w.engine.jobs[job.GetId()]; j == nil || j.arrivedAt != firstAt {
+		t.Fatalf("job %s does not count from the first attempt of its caller", job.GetId())
+	}
+}
+
 // drawKnownJob draws a job that the store holds, or returns "".
 func (w *rebuildWorld) drawKnownJob(t *rapid.T) string {
 	if len(w.store.states) == 0 {
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -40,6 +40,8 @@
 	holdsCommits bool
 	heldBatch    *Batch
 	output       []string
+	// onReply is called with each reply, unless it is nil.
+	onReply func(Reply)
 }
 
 // fakeRunner is a runner and its agent.
@@ -139,7 +141,7 @@
 	case "terms":
 		h.printTerms(id)
 	case "store-fails":
-		h.engine.SetStoreFailing()
+		h.engine.SetStoreFailing(h.now)
 		h.carryOutEffects()
 	case "store-returns":
 		h.engine.SetStoreRecovered()
@@ -545,6 +547,9 @@
 func (h *harness) carryOutEffects() {
 	effects := h.engine.TakeEffects()
 	for _, reply := range effects.Replies {
+		if h.onReply != nil {
+			h.onReply(reply)
+		}
 		h.printf("reply %d %s %s\n", reply.Call, strings.TrimPrefix(reply.Status.String(), "STATUS_"), reply.State)
 	}
 	for _, node := range slices.Sorted(maps.Keys(effects.Orders)) {
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -314,12 +314,18 @@
 		return
 	}
 	if o.StoreSilence() > storeFailingAfter {
-		o.engine.SetStoreFailing()
+		o.engine.SetStoreFailing(o.now())
 	}
 	o.engine.Tick(o.now())
 	o.requestApprovals()
 	stats := o.engine.Stats()
 	o.options.Metrics.SetCounts(stats.Open, stats.Runs, stats.Synced)
+	o.options.Metrics.SetPlaces(stats.Places)
+	returns := o.engine.TakeReturnCounts()
+	o.options.Metrics.AddReturns("in-time", returns.InTime)
+	o.options.Metrics.AddReturns("early", returns.Early)
+	o.options.Metrics.AddReturns("late", returns.Late)
+	o.options.Metrics.AddReturns("expired", returns.Expired)
 	o.advance()
 }
 
--- a/internal/telemetry/flow.go
+++ b/internal/telemetry/flow.go
@@ -22,6 +22,8 @@
 	orderWaits    *prometheus.HistogramVec
 	owner         prometheus.Gauge
 	takeovers     prometheus.Counter
+	returns       *prometheus.CounterVec
+	places        prometheus.Gauge
 }
 
 // NewFlow returns Flow metrics that are registered in the registry of m.
@@ -40,8 +42,10 @@
 		orderWaits:    histogram("flow_order_wait_seconds", "Time from the receipt of an order to the first attempt to send it to the runner.", "order"),
 		owner:         gauge("flow_owner", "1 while this process owns the cell."),
 		takeovers:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasminebay", Name: "flow_takeovers_total", Help: "Times that this process took the cell."}),
+		returns:       counter("flow_returns_total", "Retries of refused jobs by timing, and places whose callers did not return.", "timing"),
+		places:        gauge("flow_places", "Refused callers whose retry the owner expects."),
 	}
-	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers)
+	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers, f.returns, f.places)
 	return f
 }
 
@@ -62,6 +66,14 @@
 	f.runners.Set(float64(runners))
 }
 
+// SetPlaces sets the number of refused callers whose retry the owner expects.
+func (f *Flow) SetPlaces(places int) { f.places.Set(float64(places)) }
+
+// AddReturns counts retries of refused jobs with the given timing, or places that have expired.
+func (f *Flow) AddReturns(timing string, count int) {
+	f.returns.WithLabelValues(timing).Add(float64(count))
+}
+
 // RecordCall records the duration and status of a client's call.
 func (f *Flow) RecordCall(call, status string, took time.Duration) {
 	f.calls.WithLabelValues(call, status).Observe(took.Seconds())
