Keep a refused caller's first attempt when its admitted job is dropped, and its place when it is early

A retry that was admitted and then dropped since the store fails counted from that moment. A caller that came before its time lost the room that was left for it if the seconds that it was told again were rounded up beyond the use of its job.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -101,12 +101,10 @@
 
 // attempt returns the attempt to submit a job, and whether the job may be shed.
 func (e *Engine) attempt(j *job, first *occurrence) (a attempt, sheddable bool) {
-	a = attempt{id: j.id(), service: j.queue.Service, priority: j.queue.Priority, bestEffort: j.bestEffort()}
+	a = attempt{id: j.id(), service: j.queue.Service, priority: j.queue.Priority, bestEffort: j.bestEffort(), firstAt: j.arrivedAt}
 	if a.load, sheddable = e.admissionLoad(j, first); sheddable {
 		a.work = e.expectedWork(j, first)
-		objectiveMillis := j.queue.Stretch*a.load.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
 		a.servedFor = saturate.Of(a.load.AllowedMillis-a.load.CriticalPathMillis, time.Millisecond)
-		a.usefulFor = saturate.Of(e.options.LateFactor*objectiveMillis, time.Millisecond)
 	}
 	return a, sheddable
 }
--- a/internal/flow/engine/returns.go
+++ b/internal/flow/engine/returns.go
@@ -100,6 +100,8 @@
 	service    string
 	priority   int
 	bestEffort bool
+	// firstAt is the time of the caller's first attempt.
+	firstAt time.Duration
 	// load is the load on the runners with the job, without the work of places.
 	load Load
 	// work is that of the job itself.
@@ -107,8 +109,6 @@
 	// servedFor is how long after the first attempt the job may be admitted and still be done within the time
 	// that admission allows.
 	servedFor time.Duration
-	// usefulFor is how long after the first attempt the job may be done and still be of use.
-	usefulFor time.Duration
 }
 
 // firstAttempt returns when a caller first came.
@@ -168,7 +168,7 @@
 	p = b.byID[a.id]
 	timing := p.timing(now)
 	if p == nil {
-		p = &place{id: a.id, firstAt: now}
+		p = &place{id: a.id, firstAt: a.firstAt}
 	}
 	b.drop(a.id)
 	p.refusals++
@@ -189,10 +189,10 @@
 		}
 	}
 	after = wholeSeconds(after)
-	if timing != returnsEarly || now+after > p.due {
-		p.opensAt, p.due = now+time.Duration(earliestReturn*float64(after)), now+after
+	p.opensAt, p.due = now+time.Duration(earliestReturn*float64(after)), now+after
+	if timing != returnsEarly {
+		p.holds = a.work > 0 && p.due <= p.firstAt+a.servedFor
 	}
-	p.holds = a.work > 0 && p.due <= p.firstAt+a.servedFor
 	if p.refusals <= maxRetries {
 		b.add(p)
 	}
