--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -53,6 +53,11 @@
 	return false, min(max(after, minRetryAfter), maxRetryAfter)
 }
 
+// timeFor returns how long the runners take for work, or saturate.Longest if they have no capacity.
+func (l Load) timeFor(work float64) time.Duration {
+	return saturate.Of(work/(usableCapacityShare*float64(max(0, l.MilliCPU))), time.Millisecond)
+}
+
 // Submit accepts or refuses a job. An accepted job is answered once it is durable, a refused one
 // at once. Submitting an accepted job again has no effect and returns its state.
 func (e *Engine) Submit(call uint64, def *flowpb.Job, now Timestamp) {
@@ -104,6 +109,8 @@
 	a = attempt{id: j.id(), service: j.queue.Service, priority: j.queue.Priority, bestEffort: j.bestEffort(), firstAt: j.arrivedAt}
 	if a.load, sheddable = e.admissionLoad(j, first); sheddable {
 		a.work = e.expectedWork(j, first)
+		objectiveMillis := j.queue.Stretch*a.load.CriticalPathMillis + float64(j.queue.Target.Milliseconds())
+		a.usefulFor = saturate.Of(e.options.LateFactor*objectiveMillis, time.Millisecond)
 		a.servedFor = saturate.Of(a.load.AllowedMillis-a.load.CriticalPathMillis, time.Millisecond)
 	}
 	return a, sheddable
--- a/internal/flow/engine/returns.go
+++ b/internal/flow/engine/returns.go
@@ -6,8 +6,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/jasminebay/jasminebay/internal/saturate"
 )
 
 // The order of retries addresses demand that exceeds the capacity for seconds: callers are refused and
@@ -109,6 +107,8 @@
 	// servedFor is how long after the first attempt the job may be admitted and still be done within the time
 	// that admission allows.
 	servedFor time.Duration
+	// usefulFor is how long after the first attempt the job may be done and still be of use.
+	usefulFor time.Duration
 }
 
 // firstAttempt returns when a caller first came.
@@ -123,7 +123,11 @@
 // of the other callers who were told to return. For a caller that returns to its own place these are the places
 // before that one, and for any other all. Places of a more urgent queue come before those of a less urgent one,
 // and best-effort jobs take no processors from other jobs.
-func (b *places) workBefore(a attempt, own *place, now time.Duration) (held, others float64) {
+func (b *places) workBefore(a attempt, now time.Duration) (held, others float64) {
+	own := b.byID[a.id]
+	if own.timing(now) == returnsLate {
+		own = nil
+	}
 	for _, p := range b.ordered {
 		isLater := own != nil && p.priority == own.priority && comparePlaces(p, own) >= 0
 		switch {
@@ -139,27 +143,19 @@
 
 // decide reports whether an attempt is admitted. A caller that returns in its time is, since all others left
 // room for it: the estimates from which its time followed may have been wrong, but it is not to pay for that
-// again. The returned load is that on which the time of its room depends.
+// again. Any other retry must end while its job is of use, or begin almost at once, since a job that ends too
+// late only keeps others out. The returned load includes the work of places.
 func (b *places) decide(a attempt, now time.Duration) (ok bool, l Load) {
 	own := b.byID[a.id]
-	timing := own.timing(now)
 	l = a.load
-	held, others := b.workBefore(a, b.kept(a.id, now), now)
+	held, _ := b.workBefore(a, now)
 	l.Backlog += held
-	ok, _ = Admit(l)
-	if ok || timing == returnsInTime && own.holds && l.MilliCPU > 0 {
-		return true, l
-	}
-	l.Backlog += others
-	return false, l
-}
-
-// kept returns the place to which a caller returns, or nil if it has none or returns late.
-func (b *places) kept(id string, now time.Duration) *place {
-	if p := b.byID[id]; p.timing(now) == returnsEarly || p.timing(now) == returnsInTime {
-		return p
+	if own != nil {
+		useful := float64((own.firstAt + a.usefulFor - now).Milliseconds())
+		l.AllowedMillis = min(l.AllowedMillis, max(useful, l.CriticalPathMillis))
 	}
-	return nil
+	ok, _ = Admit(l)
+	return ok || own.timing(now) == returnsInTime && own.holds && l.MilliCPU > 0, l
 }
 
 // refuse gives the caller of a refused attempt a place, and returns how long it is to wait. A caller that
@@ -170,6 +166,7 @@
 	if p == nil {
 		p = &place{id: a.id, firstAt: a.firstAt}
 	}
+	_, others := b.workBefore(a, now)
 	b.drop(a.id)
 	p.refusals++
 	p.service, p.priority, p.bestEffort, p.work = a.service, a.priority, a.bestEffort, a.work
@@ -184,6 +181,11 @@
 		// a few seconds.
 		_, after = Admit(l)
 		after = max(after, min(time.Duration(p.refusals)*time.Second, maxSpread))
+		if p.firstAt+a.servedFor < now+wholeSeconds(after) {
+			// No room is left for the others. Most of them give up, so that their whole work would make
+			// the time too long, but they are not to arrive together.
+			after += l.timeFor(others) % maxSpread
+		}
 		if timing != returnsInTime {
 			p.order = now + after
 		}
@@ -212,10 +214,7 @@
 			work += p.work
 		}
 	}
-	if a.load.MilliCPU <= 0 {
-		return maxSpread
-	}
-	return saturate.Of(work/(usableCapacityShare*float64(a.load.MilliCPU)), time.Millisecond)
+	return a.load.timeFor(work)
 }
 
 // spread returns a time of whole seconds, up to that which the waiting work needs and within minRetryAfter and
