Don't repeat a start that became too old while the agent asked the runner

The age of a start was checked before an attempt, but before a repeated one the agent first asks the runner which incarnation it is, which may take up to 0.15 s. An attempt could so be sent 1.15 s after the report on which it is based, and later if the process got no processor time in between. The age is now checked again right before the call. The limit moves to driver.MaxStartAge, since the owner's knowledge of evacuations will count on it.

--- a/internal/driver/runner.go
+++ b/internal/driver/runner.go
@@ -37,6 +37,12 @@
 // carried out. The platform's pages give no bound; its trials delay orders by up to 12 s.
 const MaxOrderDelay = 15 * time.Second
 
+// MaxStartAge is how long after the agent's report that the owner had last heard a start is sent to the
+// runner at the latest. Its task may have ended elsewhere meanwhile, and no start may come later than
+// 1 s after that (RULES.md, TWICE). The time until which an owner may place tasks without knowing of an
+// evacuation counts on it, too.
+const MaxStartAge = time.Second
+
 // RunnerTime is a reading of the monotonic clock of a runner, since an arbitrary origin.
 type RunnerTime time.Duration
 
--- a/internal/flow/agent/agent.go
+++ b/internal/flow/agent/agent.go
@@ -36,10 +36,6 @@
 	// maxStartDelay is how long a start may wait in the agent before its first attempt or the next. The
 	// owner then places the task elsewhere, and what it has decided since can't be far behind.
 	maxStartDelay = 500 * time.Millisecond
-	// maxStartAge is how long after the agent's report that the owner had last heard a start is sent to the
-	// runner at the latest. Its task may have ended elsewhere meanwhile, and no start may come later than
-	// 1 s after that (RULES.md, TWICE).
-	maxStartAge = time.Second
 	// maxDoubtDelay is how long a start in doubt waits for others before the agent synchronises, the
 	// time of all attempts of one start.
 	maxDoubtDelay = maxOrderAttempts * orderTimeout
--- a/internal/flow/agent/orders.go
+++ b/internal/flow/agent/orders.go
@@ -138,7 +138,7 @@
 		return errDraining
 	case !a.state.tokenConfirmed || a.runnerLeaseEnd() == 0:
 		return errNoLease
-	case a.options.Clock()-o.receivedAt > maxStartDelay, a.options.Clock()-o.heardAt > maxStartAge:
+	case a.options.Clock()-o.receivedAt > maxStartDelay, a.options.Clock()-o.heardAt > driver.MaxStartAge:
 		return errOverdue
 	}
 	return nil
@@ -176,13 +176,17 @@
 	request := driver.StartRequest{
 		RunID: id, Spec: o.start.GetSpec(), Checkpoint: o.start.GetCheckpoint(), Ticket: o.start.GetTicket(), Token: token, LeaseEnd: a.runnerLeaseEnd(),
 	}
-	repeated := o.unanswered > 0
+	repeated, heardAt := o.unanswered > 0, o.heardAt
 	return func(ctx context.Context) (err error) {
 		if repeated {
 			if err = a.checkIncarnation(ctx, runner, token); err != nil {
 				return err
 			}
 		}
+		// The call before, or the wait for the processor, may have outlasted the age at which it was due.
+		if a.options.Clock()-heardAt > driver.MaxStartAge {
+			return errOverdue
+		}
 		*clock, err = client.Start(ctx, runner, request)
 		return err
 	}, clock
--- a/internal/flow/agent/orders_test.go
+++ b/internal/flow/agent/orders_test.go
@@ -42,6 +42,8 @@
 	down  bool
 	// stopped holds the runs that were stopped in the present life.
 	stopped map[driver.RunID]bool
+	// listDelay is how long the runner takes to list its runs.
+	listDelay time.Duration
 	// answers holds, by task, the answers to the next calls for it; all others are answered with ok.
 	answers map[string][]string
 }
@@ -102,6 +104,9 @@
 }
 
 func (h *orderHarness) Hold(_ context.Context, _ driver.RunnerID, request driver.HoldRequest) (r driver.HoldReport, err error) {
+	var delay time.Duration
+	_ = h.agent.loop.Do(func() { delay = h.listDelay })
+	time.Sleep(delay)
 	_ = h.agent.loop.Do(func() {
 		if err = answers[h.accept(request.Token)]; err != nil {
 			return
@@ -197,6 +202,13 @@
 		}
 		time.Sleep(pause)
 		return
+	case "lists-take":
+		delay, err := time.ParseDuration(rest)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		_ = a.loop.Do(func() { h.listDelay = delay })
+		return
 	case "synchronised":
 		_ = a.loop.Do(h.confirm)
 		return
