Let the engine evacuate data centres

Operators may ask that nothing is started in a data centre until they take it back. The engine gets the set by SetEvacuatedDataCentres. Evacuated data centres have no candidates for runs, copies, gangs, preemption, held room or moves. Planned starts there are withdrawn, unconfirmed ones stopped. Long-running runs move within their budget, finite ones if they do not end within the bound, gangs as a whole, each only if there is room that waiting tasks leave. For long-running runs room is held as finite tasks end. Admission and throughput count what is left.

If the set has not been confirmed for the bound less the age that agents allow a start and a margin, nothing is placed, and what was placed is not sent.

In a data centre that is taken back, a cold runner is offered the share elapsed/(elapsed+left) of its processors, and warm runners are preferred. Without EvacuationBound all decisions are as before: go test ./internal/flow/engine passes with all earlier scripts unchanged.

--- a/internal/flow/engine/admit.go
+++ b/internal/flow/engine/admit.go
@@ -201,8 +201,8 @@
 		return l, false
 	}
 	for _, w := range e.workers {
-		if w.info.GetService() == j.queue.Service && w.synced {
-			l.MilliCPU += w.info.GetMilliCpu()
+		if w.info.GetService() == j.queue.Service && w.synced && !e.isEvacuated(w) {
+			l.MilliCPU += int64(e.offeredShare(w, first.startedAt) * float64(w.info.GetMilliCpu()))
 		}
 	}
 	bestEffort := j.bestEffort()
@@ -214,7 +214,7 @@
 		if other.queue.Service != j.queue.Service || other.queue.Priority > j.queue.Priority {
 			continue
 		}
-		l.MilliCPU -= other.longRunningMilliCPU(bestEffort)
+		l.MilliCPU -= e.longRunningMilliCPU(other, bestEffort)
 		// Best-effort jobs take no processors from other jobs.
 		if queued && (bestEffort || !other.bestEffort()) {
 			l.Backlog += e.remainingWork(other)
@@ -266,8 +266,9 @@
 func (j *job) bestEffort() bool { return j.def.GetSteps()[0].GetFills() }
 
 // longRunningMilliCPU returns the processors, in thousandths, that the long-running tasks of a
-// job take from other tasks, or from best-effort tasks if bestEffort is set.
-func (j *job) longRunningMilliCPU(bestEffort bool) (used int64) {
+// job take from other tasks, or from best-effort tasks if bestEffort is set. Those in evacuated data centres take
+// nothing of the capacity that counts.
+func (e *Engine) longRunningMilliCPU(j *job, bestEffort bool) (used int64) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if o.done || !s.def.GetLasting() {
@@ -278,7 +279,13 @@
 				perRun *= latencyCriticalUtilization
 			}
 			for _, t := range s.tasks {
-				used += int64(float64(len(t.runs)) * perRun)
+				runs := len(t.runs)
+				for _, r := range t.runs {
+					if e.isEvacuated(r.worker) {
+						runs--
+					}
+				}
+				used += int64(float64(runs) * perRun)
 			}
 		}
 	}
--- a/internal/flow/engine/batch.go
+++ b/internal/flow/engine/batch.go
@@ -187,7 +187,12 @@
 		}
 	}
 	for _, r := range b.runs {
-		if r.worker.runs.get(r.id) == r && r.phase == phasePlanned {
+		switch {
+		case r.worker.runs.get(r.id) != r || r.phase != phasePlanned:
+		case !e.evacuationsKnown(now.Monotonic) || e.isEvacuated(r.worker):
+			// The commit may have taken long.
+			e.withdraw(r, now.Monotonic, "its data centre may be evacuated")
+		default:
 			e.sendStart(r, now.Monotonic)
 		}
 	}
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -44,6 +44,9 @@
 	// LateFactor bounds the use of late results: a job that takes more than this many times its
 	// objective has no value.
 	LateFactor float64
+	// EvacuationBound is how long after the request to evacuate a data centre tasks may still start there. It is 0
+	// if data centres are not evacuated.
+	EvacuationBound time.Duration
 	// Policy replaces decisions by simpler ones in experiments.
 	Policy Policy
 	Log    *slog.Logger
@@ -77,7 +80,8 @@
 	// earlierLeasesEnded is set once no lease of an earlier owner is left.
 	earlierLeasesEnded bool
 	// evacuating holds the ids of runners from which all tasks are to be moved.
-	evacuating map[string]bool
+	evacuating  map[string]bool
+	dataCentres dataCentres
 	// lastStragglerCheck is when handleStragglers last checked the runs.
 	lastStragglerCheck time.Duration
 	lastExpiry         time.Duration
@@ -270,6 +274,7 @@
 	e.measureThroughput(now.Monotonic)
 	e.adjustPaces(now.Monotonic)
 	e.evacuate(now.Monotonic)
+	e.evacuateDataCentres(now.Monotonic)
 	e.handleStragglers(now.Monotonic)
 	// Delays of tasks and of runners may have ended.
 	e.placementDue = true
@@ -365,13 +370,18 @@
 // under the current token.
 type Stats struct {
 	Jobs, Open, Workers, Synced, Runs int
+	// EvacuatedDataCentres counts the data centres that are evacuated, EvacuatedRuns the runs that are left there.
+	EvacuatedDataCentres, EvacuatedRuns int
 }
 
 // Stats returns the current counts of jobs, workers and live runs.
 func (e *Engine) Stats() (s Stats) {
-	s.Jobs, s.Open, s.Workers = len(e.jobs), len(e.openJobs), len(e.workers)
+	s.Jobs, s.Open, s.Workers, s.EvacuatedDataCentres = len(e.jobs), len(e.openJobs), len(e.workers), len(e.dataCentres.evacuated)
 	for _, w := range e.workers {
 		s.Runs += w.runs.len()
+		if e.isEvacuated(w) {
+			s.EvacuatedRuns += w.runs.len()
+		}
 		if w.synced {
 			s.Synced++
 		}
--- a/internal/flow/engine/evacuate.go
+++ b/internal/flow/engine/evacuate.go
@@ -137,12 +137,18 @@
 	if s.def.GetGang() {
 		return false
 	}
+	if !s.def.GetLasting() && e.finishesThere(r, remaining, now) {
+		return false
+	}
+	return e.fitsElsewhere(r, e.candidates(now), now)
+}
+
+// finishesThere reports whether a finite run ends within the time remaining, or would lose too much of its work
+// if it was moved.
+func (e *Engine) finishesThere(r *run, remaining, now time.Duration) bool {
 	needed := e.expectedDuration(r) - (now - r.startedAt)
 	if r.progressPercent > 0 {
 		needed = time.Duration(float64(now-r.startedAt) * float64(fullPace-min(r.progressPercent, fullPace)) / float64(r.progressPercent))
 	}
-	if !s.def.GetLasting() && (needed <= remaining || !s.def.GetCheckpoints() && r.progressPercent > moveMaxProgress) {
-		return false
-	}
-	return e.fitsElsewhere(r, e.candidates(now), now)
+	return needed <= remaining || !r.task.step.def.GetCheckpoints() && r.progressPercent > moveMaxProgress
 }
--- a/internal/flow/engine/livestate_test.go
+++ b/internal/flow/engine/livestate_test.go
@@ -13,6 +13,7 @@
 var liveStateTypes = []reflect.Type{
 	reflect.TypeFor[Engine](), reflect.TypeFor[job](), reflect.TypeFor[occurrence](), reflect.TypeFor[step](), reflect.TypeFor[task](),
 	reflect.TypeFor[run](), reflect.TypeFor[worker](), reflect.TypeFor[ticket](), reflect.TypeFor[heldEnd](), reflect.TypeFor[health](),
+	reflect.TypeFor[dataCentres](),
 }
 
 // Ways in which the next owner comes by a field, as docs/STEPS.md lists them.
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -25,6 +25,8 @@
 	// latencyCritical is set if the worker has a latency-critical task.
 	latencyCritical bool
 	rack            string
+	// cold is set while the runner gets only a share of its capacity after an evacuation.
+	cold bool
 	// heldFor is the long-running step for which the room on the worker is held, or nil.
 	heldFor *step
 	// placed is the number of tasks placed in this round.
@@ -37,7 +39,7 @@
 
 // Place assigns pending tasks to workers with enough free resources, in the order of the policy.
 func (e *Engine) Place(now Timestamp) {
-	if !e.placementDue {
+	if !e.placementDue || !e.evacuationsKnown(now.Monotonic) {
 		return
 	}
 	e.placementDue = false
@@ -46,20 +48,30 @@
 		return
 	}
 	candidates := e.candidates(now.Monotonic)
+	held := false
 	for _, p := range steps {
+		if !p.LongRunning && !held {
+			held = true
+			e.holdForEvacuated(candidates, now.Monotonic)
+		}
 		e.placeStep(p, candidates, now.Monotonic)
 	}
 }
 
 // candidates returns the workers that may be given tasks now. It leaves out workers that are not
-// usable, that are ejected or to be emptied, and those that have just refused a task.
+// usable, that are ejected or to be emptied, those of evacuated data centres, and those that have just refused a task.
 func (e *Engine) candidates(now time.Duration) []*candidate {
+	if !e.evacuationsKnown(now) {
+		return nil
+	}
 	var candidates []*candidate
 	for _, w := range e.sortedWorkers() {
-		if !w.schedulable(now) || now < w.fullUntil || e.evacuating[w.info.GetId()] || !w.health.admits(now, w.runs.list) {
+		if !w.schedulable(now) || now < w.fullUntil || e.evacuating[w.info.GetId()] || e.isEvacuated(w) || !w.health.admits(now, w.runs.list) {
 			continue
 		}
-		candidates = append(candidates, &candidate{worker: w, free: w.free(), idleMilliCPU: w.bestEffortAvailable(), latencyCritical: w.hasLatencyCritical(), rack: w.rack()})
+		c := &candidate{worker: w, free: w.free(), idleMilliCPU: w.bestEffortAvailable(), latencyCritical: w.hasLatencyCritical(), rack: w.rack()}
+		e.withholdWhileCold(c, now)
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
@@ -352,7 +364,9 @@
 	weightOtherImage   = 10.0
 	weightNearRack     = 1000.0
 	weightAvoided      = 500.0
-	weightFit          = 1.0
+	// weightCold outweighs packing by image and most interference, since a cold runner slows down all its tasks.
+	weightCold = 400.0
+	weightFit  = 1.0
 )
 
 // score rates a candidate for a task of the step that would run there at the given pace, in
@@ -363,6 +377,9 @@
 	if near := s.def.GetNearRack(); near != "" && c.rack != near && !c.worker.hasLabel(near) {
 		score -= weightNearRack
 	}
+	if c.cold {
+		score -= weightCold
+	}
 	freeShare := float64(c.free.MilliCPU()) / capacity
 	switch {
 	case s.def.GetFills():
@@ -434,13 +451,13 @@
 // of the step can be placed there in a later round. None is stopped while others may have room that a
 // new owner doesn't know of yet.
 func (e *Engine) preempt(s *step, now time.Duration) {
-	if now-s.preemptedAt < preemptInterval && s.preemptedAt > 0 || e.awaitsReports(now) {
+	if now-s.preemptedAt < preemptInterval && s.preemptedAt > 0 || e.awaitsReports(now) || !e.evacuationsKnown(now) {
 		return
 	}
 	var victims []*run
 	cost := 0.0
 	for _, w := range e.sortedWorkers() {
-		if !w.schedulable(now) || !e.eligible(s, w, now) {
+		if !w.schedulable(now) || e.isEvacuated(w) || e.offeredShare(w, now) < 1 || !e.eligible(s, w, now) {
 			continue
 		}
 		if v, c := e.victims(w, s, now); v != nil && (victims == nil || c < cost) {
--- a/internal/flow/engine/rate.go
+++ b/internal/flow/engine/rate.go
@@ -46,6 +46,9 @@
 	e.lastRateSample = now
 	busy, available := 0.0, 0.0
 	for _, w := range e.sortedWorkers() {
+		if e.isEvacuated(w) {
+			continue
+		}
 		available += float64(w.info.GetMilliCpu())
 		for _, r := range w.runs.list {
 			switch {
--- a/internal/flow/engine/room.go
+++ b/internal/flow/engine/room.go
@@ -24,15 +24,7 @@
 		}
 	}
 	for range min(s.countPending(now), max(1, len(candidates)/maxHeldDivisor)-held) {
-		var roomiest *candidate
-		for _, c := range candidates {
-			if c.heldFor != nil || !e.eligible(s, c.worker, now) || !s.resources().Fits(c.free.Plus(c.worker.finiteReservations())) {
-				continue
-			}
-			if roomiest == nil || c.free.MilliCPU() > roomiest.free.MilliCPU() {
-				roomiest = c
-			}
-		}
+		roomiest := e.roomiest(s, candidates, now)
 		if roomiest == nil {
 			e.moveForRoom(s, candidates, now)
 			return
@@ -41,6 +33,20 @@
 	}
 }
 
+// roomiest returns the candidate with the most free processors, of those that are not held and where a task of
+// the step fits once the finite tasks have ended, or nil.
+func (e *Engine) roomiest(s *step, candidates []*candidate, now time.Duration) (roomiest *candidate) {
+	for _, c := range candidates {
+		if c.heldFor != nil || !e.eligible(s, c.worker, now) || !s.resources().Fits(c.free.Plus(c.worker.finiteReservations())) {
+			continue
+		}
+		if roomiest == nil || c.free.MilliCPU() > roomiest.free.MilliCPU() {
+			roomiest = c
+		}
+	}
+	return roomiest
+}
+
 // moveForRoom stops a long-running task, within its disruption budget, so that a task of the step fits in
 // its place. It chooses the smallest for which another worker has room. Without it, the loss of a few
 // workers of a full fleet can leave room in pieces that are each too small.
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -39,7 +39,12 @@
 	// holdsCommits is set while a commit gets no answer, heldBatch is its content.
 	holdsCommits bool
 	heldBatch    *Batch
-	output       []string
+	// evacuationBound is 0 if data centres are not evacuated. The evacuated ones are confirmed at each tick, unless
+	// unconfirmed is set.
+	evacuationBound time.Duration
+	evacuated       []string
+	unconfirmed     bool
+	output          []string
 }
 
 // fakeRunner is a runner and its agent.
@@ -100,14 +105,22 @@
 
 func (h *harness) tryRestart(ago time.Duration) (err error) {
 	h.epoch++
-	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute, LateFactor: 3, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	h.engine = New(Options{Epoch: h.epoch, AcquiredAt: h.now.Monotonic - ago, Lease: 4 * time.Second, MaxLease: 6 * time.Second, Retention: time.Minute, LateFactor: 3, EvacuationBound: h.evacuationBound, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	if h.ring, err = h.store.restore(h.engine, h.now); err != nil {
 		return err
 	}
 	h.engine.Configure(h.queues)
+	h.confirmEvacuations()
 	return nil
 }
 
+// confirmEvacuations tells the engine of the evacuated data centres, as the process that owns the cell does.
+func (h *harness) confirmEvacuations() {
+	if h.evacuationBound > 0 && !h.unconfirmed {
+		h.engine.SetEvacuatedDataCentres(h.evacuated, h.now.Monotonic, h.now)
+	}
+}
+
 func (h *harness) runCommand(d *datadriven.TestData) {
 	name, id, n, ms := "", "", 0, 0
 	for key, into := range map[string]any{"node": &name, "task": &id, "run": &n, "ms": &ms} {
@@ -138,6 +151,21 @@
 		h.commitAll()
 	case "terms":
 		h.printTerms(id)
+	case "evacuate":
+		// The data centres are evacuated, in place of those before. The bound is 5 s.
+		h.evacuationBound, h.unconfirmed, h.evacuated = 5*time.Second, false, nil
+		h.engine.options.EvacuationBound = h.evacuationBound
+		for _, arg := range d.CmdArgs {
+			h.evacuated = append(h.evacuated, arg.Key)
+		}
+		h.confirmEvacuations()
+		h.commitAll()
+	case "unconfirmed":
+		h.unconfirmed = true
+	case "progress":
+		percent := 0
+		d.ScanArgs(h.t, "percent", &percent)
+		h.runners[name].running[driver.RunID{Task: id, Run: uint32(n)}].Percent = int32(percent)
 	case "store-fails":
 		h.engine.SetStoreFailing()
 		h.carryOutEffects()
@@ -228,6 +256,9 @@
 			d.ScanArgs(h.t, "cpu", &cpu)
 			r.info.MilliCpu = int64(cpu)
 		}
+		if d.HasArg("cold-ms") {
+			d.ScanArgs(h.t, "cold-ms", &r.info.ColdLeftMillis)
+		}
 		h.report(name)
 		h.commitAll()
 	case "gone":
@@ -349,7 +380,13 @@
 }
 
 func (h *harness) addRunner(d *datadriven.TestData, name string) {
-	cpu, rack, service := 8000, "rack-1", "hub"
+	cpu, rack, service, zone, cold := 8000, "rack-1", "hub", "", 0
+	if d.HasArg("zone") {
+		d.ScanArgs(h.t, "zone", &zone)
+	}
+	if d.HasArg("cold-ms") {
+		d.ScanArgs(h.t, "cold-ms", &cold)
+	}
 	if d.HasArg("cpu") {
 		d.ScanArgs(h.t, "cpu", &cpu)
 	}
@@ -359,7 +396,7 @@
 	if d.HasArg("service") {
 		d.ScanArgs(h.t, "service", &service)
 	}
-	h.runners[name] = &fakeRunner{wantsTickets: d.HasArg("tickets"), running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + name, Born: h.now.UnixMillis, Service: service, Labels: []string{"a", rack}, MilliCpu: int64(cpu), MemoryMb: 64_000}}
+	h.runners[name] = &fakeRunner{wantsTickets: d.HasArg("tickets"), running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + name, Born: h.now.UnixMillis, Service: service, Zone: zone, ColdLeftMillis: int64(cold), Labels: []string{"a", rack}, MilliCpu: int64(cpu), MemoryMb: 64_000}}
 	h.connect(name)
 	h.commitAll()
 }
@@ -497,8 +534,13 @@
 	for ; d > 0; d -= tick {
 		h.now.Monotonic += tick
 		h.now.UnixMillis += tick.Milliseconds()
+		h.confirmEvacuations()
 		for _, name := range slices.Sorted(maps.Keys(h.runners)) {
-			if !h.runners[name].dropsOrders {
+			if r := h.runners[name]; !r.dropsOrders {
+				if r.info.GetColdLeftMillis() > 0 {
+					r.info = proto.CloneOf(r.info)
+					r.info.ColdLeftMillis -= tick.Milliseconds()
+				}
 				h.report(name)
 			}
 		}
