--- a/internal/flow/engine/datacentre.go
+++ b/internal/flow/engine/datacentre.go
@@ -21,9 +21,9 @@
 	// evacuationInterval is how often runs in evacuated data centres are considered. A stop and the placement
 	// of the task take about as long.
 	evacuationInterval = 250 * time.Millisecond
-	// coldReportDelay is how long it takes at most until a runner has reported that it is cold. Until then it
-	// counts as cold.
-	coldReportDelay = time.Second
+	// coldReportDelay is how long it takes until a runner has reported that it is cold, and until then it counts as
+	// cold. It sends a heartbeat about every second, and its agent a report every half.
+	coldReportDelay = 2 * time.Second
 	// evacuationReason is the reason for which runs are stopped in an evacuated data centre.
 	evacuationReason = "the data centre is evacuated"
 )
--- a/internal/flow/entry/node.go
+++ b/internal/flow/entry/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/flow/evacuation"
 	"github.com/jasminebay/jasminebay/internal/flow/flowpb"
 	"github.com/jasminebay/jasminebay/internal/flow/link"
 	"github.com/jasminebay/jasminebay/internal/flow/locate"
@@ -74,8 +75,12 @@
 	VMs        driver.VMs
 	Waves      driver.Waves
 	VMDowntime time.Duration
-	Log        *slog.Logger
-	Metrics    *telemetry.Flow
+	// Evacuations is nil if data centres are not evacuated. EvacuationBound is how long after the request tasks may
+	// still start in one.
+	Evacuations     driver.Evacuations
+	EvacuationBound time.Duration
+	Log             *slog.Logger
+	Metrics         *telemetry.Flow
 }
 
 // Node finds or becomes the owner of the cell and forwards calls to it. It is safe for concurrent
@@ -350,6 +355,14 @@
 	}).Run(ctx)
 }
 
+// newEvacuationFollower returns what tells a new owner of evacuated data centres, or nil if data centres are not evacuated.
+func (n *Node) newEvacuationFollower(local *owner.Owner) *evacuation.Follower {
+	if n.options.Evacuations == nil {
+		return nil
+	}
+	return evacuation.New(evacuation.Options{Evacuations: n.options.Evacuations, Cell: local, Clock: n.options.Clock, Log: n.options.Log})
+}
+
 // announce tells the process that owned the cell before of the new owner. Agents and entries that do
 // not reach the store still ask that process, which may not reach the store either.
 func (n *Node) announce(ctx context.Context, before, record *flowpb.Owner) {
@@ -375,24 +388,34 @@
 func (n *Node) runOwner(ctx context.Context, fenced *owner.FencedStore, before *flowpb.Owner) {
 	opts := owner.Options{
 		Cell: n.options.Cell, FencedStore: fenced, Store: n.options.Store, Clock: n.options.Clock, Lease: n.options.Lease, MaxLease: n.options.MaxLease,
-		Retention: n.options.Retention, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
+		Retention: n.options.Retention, EvacuationBound: n.options.EvacuationBound, Adviser: n.options.Adviser, Log: n.options.Log, Metrics: n.options.Metrics,
 	}
 	local, err := owner.New(ctx, opts)
 	if err != nil {
 		n.options.Log.Warn("cell acquired but not loaded", "cell", n.options.Cell, "error", err.Error())
 		return
 	}
+	evacuations := n.newEvacuationFollower(local)
+	if evacuations != nil {
+		evacuations.Prime(ctx)
+	}
 	n.beginOwning(local)
 	n.options.Metrics.SetOwner(true)
 	watchCtx, stop := context.WithCancel(ctx)
 	announceDone := loop.Go(watchCtx, func(ctx context.Context) { n.announce(ctx, before, fenced.Record()) })
 	watchDone := loop.Go(watchCtx, func(ctx context.Context) { n.watchOwner(ctx, local) })
 	maintenanceDone := loop.Go(watchCtx, func(ctx context.Context) { n.runMaintenance(ctx, local) })
+	evacuationsDone := loop.Go(watchCtx, func(ctx context.Context) {
+		if evacuations != nil {
+			evacuations.Run(ctx)
+		}
+	})
 	err = local.Run(ctx)
 	stop()
 	<-announceDone
 	<-watchDone
 	<-maintenanceDone
+	<-evacuationsDone
 	n.setLocalOwner(nil)
 	n.options.Metrics.SetOwner(false)
 	if err != nil && !errors.Is(err, owner.ErrDeposed) {
--- /dev/null
+++ b/internal/flow/evacuation/doc.go
@@ -0,0 +1,2 @@
+// Package evacuation tells the owner of a cell which data centres are evacuated.
+package evacuation
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -52,6 +52,9 @@
 	// MaxLease is the longest lease that a runner holds.
 	MaxLease  time.Duration
 	Retention time.Duration
+	// EvacuationBound is how long after the request to evacuate a data centre tasks may still start there. It is 0
+	// if data centres are not evacuated.
+	EvacuationBound time.Duration
 	// Adviser is nil if the deployment has no admission service.
 	Adviser driver.Adviser
 	Log     *slog.Logger
@@ -103,7 +106,7 @@
 func New(ctx context.Context, opts Options) (o *Owner, err error) {
 	o = &Owner{
 		options: opts, fenced: opts.FencedStore, loop: loop.New(), commits: make(chan commitRequest, 1),
-		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, MaxLease: opts.MaxLease, Retention: opts.Retention, LateFactor: lateFactor, Log: opts.Log}),
+		engine: engine.New(engine.Options{Epoch: opts.FencedStore.Epoch(), AcquiredAt: opts.FencedStore.AcquiredAt(), Lease: opts.Lease, MaxLease: opts.MaxLease, Retention: opts.Retention, LateFactor: lateFactor, EvacuationBound: opts.EvacuationBound, Log: opts.Log}),
 		state:  loopState{links: map[string]*link.Link{}, pendingCalls: map[uint64]func(*flowpb.Reply){}, approvalSteps: map[string]bool{}},
 	}
 	o.storeCtx, o.abandon = context.WithCancel(context.WithoutCancel(ctx))
@@ -320,6 +323,7 @@
 	o.requestApprovals()
 	stats := o.engine.Stats()
 	o.options.Metrics.SetCounts(stats.Open, stats.Runs, stats.Synced)
+	o.options.Metrics.SetEvacuated(stats.EvacuatedDataCentres, stats.EvacuatedRuns)
 	o.advance()
 }
 
@@ -419,3 +423,18 @@
 		o.advance()
 	})
 }
+
+// SetEvacuatedDataCentres sets the data centres in which nothing is started, in place of those set before. The set was
+// complete at confirmedAt. One that is set before Run is known at the first decision.
+func (o *Owner) SetEvacuatedDataCentres(names []string, confirmedAt time.Duration) {
+	o.loop.Post(func() {
+		o.engine.SetEvacuatedDataCentres(names, confirmedAt, o.now())
+		o.advance()
+	})
+}
+
+// InEvacuatedDataCentre reports whether a runner is in an evacuated data centre.
+func (o *Owner) InEvacuatedDataCentre(runner string) (evacuated bool) {
+	_ = o.loop.Do(func() { evacuated = o.engine.InEvacuatedDataCentre(runner) })
+	return evacuated
+}
--- a/internal/telemetry/flow.go
+++ b/internal/telemetry/flow.go
@@ -22,6 +22,8 @@
 	orderWaits    *prometheus.HistogramVec
 	owner         prometheus.Gauge
 	takeovers     prometheus.Counter
+	evacuated     prometheus.Gauge
+	evacuatedRuns prometheus.Gauge
 }
 
 // NewFlow returns Flow metrics that are registered in the registry of m.
@@ -40,8 +42,10 @@
 		orderWaits:    histogram("flow_order_wait_seconds", "Time from the receipt of an order to the first attempt to send it to the runner.", "order"),
 		owner:         gauge("flow_owner", "1 while this process owns the cell."),
 		takeovers:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasminebay", Name: "flow_takeovers_total", Help: "Times that this process took the cell."}),
+		evacuated:     gauge("flow_evacuated_data_centres", "Data centres that are evacuated."),
+		evacuatedRuns: gauge("flow_evacuated_runs", "Runs that are left in evacuated data centres."),
 	}
-	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers)
+	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers, f.evacuated, f.evacuatedRuns)
 	return f
 }
 
@@ -62,6 +66,12 @@
 	f.runners.Set(float64(runners))
 }
 
+// SetEvacuated sets the numbers of evacuated data centres and of the runs that are left there.
+func (f *Flow) SetEvacuated(dataCentres, runs int) {
+	f.evacuated.Set(float64(dataCentres))
+	f.evacuatedRuns.Set(float64(runs))
+}
+
 // RecordCall records the duration and status of a client's call.
 func (f *Flow) RecordCall(call, status string, took time.Duration) {
 	f.calls.WithLabelValues(call, status).Observe(took.Seconds())
