--- a/internal/flow/upkeep/upkeep.go
+++ b/internal/flow/upkeep/upkeep.go
@@ -40,6 +40,8 @@
 	// SetEvacuating sets the runners from which tasks are moved and on which no new ones are placed,
 	// in place of those set before.
 	SetEvacuating(runners []string)
+	// InEvacuatedDataCentre reports whether a runner is in an evacuated data centre.
+	InEvacuatedDataCentre(runner string) bool
 }
 
 // Options configures a Maintainer.
@@ -184,7 +186,7 @@
 			if exists {
 				known := false
 				p.Runs, p.Pinned, known = m.options.Cell.RunCounts(vm.Runner)
-				p.Unreported = !known
+				p.Unreported, p.Evacuated = !known, m.options.Cell.InEvacuatedDataCentre(vm.Runner)
 			}
 			pending = append(pending, p)
 		default:
--- a/internal/flow/upkeep/upkeep_test.go
+++ b/internal/flow/upkeep/upkeep_test.go
@@ -64,6 +64,8 @@
 	drawWrite func() (stored, answered bool)
 	// load is how many tasks are placed on a VM while it is up and not evacuated.
 	load map[string]int
+	// inEvacuated holds the VMs that are in an evacuated data centre.
+	inEvacuated map[string]bool
 	// foreign holds the VMs that do not belong to the wave.
 	foreign map[string]bool
 	// broken holds what must not happen.
@@ -77,7 +79,7 @@
 	return &fakePlatform{
 		began: time.Now(), wave: w, outcomes: map[string][]fakeOutcome{}, tasks: map[string]int{}, pinned: map[string]int{},
 		evacuatedSince: map[string]time.Time{}, seenToken: map[string]uint64{}, downUntil: map[string]time.Time{},
-		begun: map[string]bool{}, gone: map[string]bool{}, foreign: map[string]bool{}, load: map[string]int{},
+		begun: map[string]bool{}, gone: map[string]bool{}, foreign: map[string]bool{}, load: map[string]int{}, inEvacuated: map[string]bool{},
 		drawWrite: func() (stored, answered bool) { return true, true },
 	}
 }
@@ -211,6 +213,13 @@
 	return known && pinned == 0
 }
 
+// InEvacuatedDataCentre implements Cell.
+func (p *fakePlatform) InEvacuatedDataCentre(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inEvacuated[name]
+}
+
 // SetEvacuating implements Cell.
 func (p *fakePlatform) SetEvacuating(names []string) {
 	p.mu.Lock()
@@ -360,7 +369,7 @@
 
 // TestOrders carries out the waves in testdata/orders. A line names a VM, the outcomes of the orders
 // for it, each with how many orders it is for, and with tasks= and pinned= what runs on it, with load=
-// what is placed on it. All later orders are answered. A VM with gone= is removed after that time. Another
+// what is placed on it, with evacuated that its data centre is. All later orders are answered. A VM with gone= is removed after that time. Another
 // owner takes the wave over after takeover-ms=, which the agents report to reports-after-ms= later.
 func TestOrders(t *testing.T) {
 	datadriven.RunTest(t, "testdata/orders", func(t *testing.T, d *datadriven.TestData) (out string) {
@@ -379,7 +388,9 @@
 				p.wave.VMs = append(p.wave.VMs, name)
 				for _, word := range words[1:] {
 					var count int
-					if n, _ := fmt.Sscanf(word, "tasks=%d", &count); n == 1 {
+					if word == "evacuated" {
+						p.inEvacuated[name] = true
+					} else if n, _ := fmt.Sscanf(word, "tasks=%d", &count); n == 1 {
 						p.tasks[name] += count
 					} else if n, _ := fmt.Sscanf(word, "load=%d", &count); n == 1 {
 						p.load[name] = count
