Evacuate data centres in the schedules of TestRebuiltOwner

The next owner must know the same set, and no start may be planned, or sent and not confirmed, in an evacuated data centre after any event.

--- a/internal/flow/engine/rebuild_test.go
+++ b/internal/flow/engine/rebuild_test.go
@@ -72,7 +72,9 @@
 			"advise":    func(*rapid.T) { w.advise(); w.commitAll() },
 			"end":       func(t *rapid.T) { w.drawEnd(t) },
 			"crash":     func(t *rapid.T) { w.restartRunner(rapid.SampledFrom(rebuildNodes).Draw(t, "node")) },
+			"evacuate":  func(t *rapid.T) { w.drawEvacuation(t) },
 			"take over": func(t *rapid.T) { w.rebuild(t) },
+			"":          func(t *rapid.T) { w.checkEvacuated(t) },
 		})
 	})
 }
@@ -88,6 +90,8 @@
 	rebuildNodes    = []string{"a", "b", "c"}
 	rebuildQueues   = []string{"q1", "q2", "q3"}
 	rebuildServices = []string{"hub", "press"}
+	// rebuildZones are the data centres, over which the runners are spread.
+	rebuildZones = []string{"y", "z"}
 )
 
 // rebuildWorld is a harness with configurations that entries and the owner learn at different times.
@@ -108,13 +112,13 @@
 func newRebuildWorld(t *testing.T, ways map[string]string) *rebuildWorld {
 	w := &rebuildWorld{harness: newHarness(t), ways: ways, lastSettings: map[string]Queue{}, jobs: map[string]*flowpb.Job{}}
 	w.advised = func(job string) bool { return w.lastSettings[w.jobs[job].GetQueue()].Advised }
-	w.queues = map[string]Queue{}
+	w.queues, w.evacuationBound = map[string]Queue{}, 5*time.Second
 	w.restart(0)
 	w.addConfiguration(map[string]Queue{"q1": {Name: "q1", Service: "hub", MaxAttempts: 2, Stretch: 2, Version: 1}, "q2": {Name: "q2", Service: "hub", MaxAttempts: 2, Stretch: 2, Advised: true, Version: 1}})
 	w.learn()
 	for i, node := range rebuildNodes {
 		service := rebuildServices[i%len(rebuildServices)]
-		w.runners[node] = &fakeRunner{running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + node, Born: 1, Service: service, Labels: []string{"a"}, MilliCpu: 100_000, MemoryMb: 64_000}}
+		w.runners[node] = &fakeRunner{running: map[driver.RunID]*flowpb.Run{}, info: &flowpb.Runner{Id: "i-" + node, Born: 1, Service: service, Zone: rebuildZones[i/len(rebuildZones)], Labels: []string{"a"}, MilliCpu: 100_000, MemoryMb: 64_000}}
 		w.connect(node)
 	}
 	w.own()
@@ -156,6 +160,29 @@
 	w.addConfiguration(queues)
 }
 
+// drawEvacuation has the operator evacuate data centres and take the others back.
+func (w *rebuildWorld) drawEvacuation(t *rapid.T) {
+	w.evacuated = nil
+	for _, zone := range rebuildZones {
+		if rapid.Bool().Draw(t, "evacuated") {
+			w.evacuated = append(w.evacuated, zone)
+		}
+	}
+	w.confirmEvacuations()
+	w.commitAll()
+}
+
+// checkEvacuated checks that no start is about to be sent, or may be repeated, in an evacuated data centre.
+func (w *rebuildWorld) checkEvacuated(t *rapid.T) {
+	for _, worker := range w.engine.sortedWorkers() {
+		for _, r := range worker.runs.list {
+			if slices.Contains(w.evacuated, worker.info.GetZone()) && (r.phase == phasePlanned || r.phase == phaseSent && worker.synced) {
+				t.Fatalf("%s may start on %s in an evacuated data centre", r.id.Task, worker.node)
+			}
+		}
+	}
+}
+
 // drawJob draws a job as an entry accepts it, which has one of the last two configurations. It returns nil if that has no
 // queues.
 func (w *rebuildWorld) drawJob(t *rapid.T) *flowpb.Job {
@@ -258,6 +285,9 @@
 		t.Fatal(err)
 	}
 	w.compareStored(t, rebuilt)
+	if before, after := w.engine.dataCentres.evacuated, rebuilt.engine.dataCentres.evacuated; !maps.Equal(before, after) {
+		t.Fatalf("the data centres %v are evacuated, for the next owner %v", before, after)
+	}
 	rebuilt.connectAll()
 	next.connectAll()
 	w.settle()
@@ -334,8 +364,10 @@
 	}
 }
 
-// settle lets the world go on with runners that are well until all that can end has ended.
+// settle lets the world go on with runners that are well, in data centres that are taken back, until all that can end has
+// ended.
 func (w *rebuildWorld) settle() {
+	w.evacuated = nil
 	ages := map[driver.RunID]int{}
 	for _, r := range w.runners {
 		r.before = r.sortedRuns()
