List evacuations once before an owner begins, and move only where tasks run well

A new owner whose store left two lists unanswered would have begun 1.6 s late; it places nothing until a list has succeeded in any case. A best-effort task is not moved to where it would be throttled, as it would wait for up to 6 s instead. Steps without room are looked at once per pass.

--- a/internal/flow/engine/datacentre.go
+++ b/internal/flow/engine/datacentre.go
@@ -154,6 +154,7 @@
 		return
 	}
 	pending := e.pendingSteps(now)
+	withoutRoom := map[*step]bool{}
 	for _, longRunning := range []bool{true, false} {
 		for _, p := range pending {
 			if p.LongRunning == longRunning {
@@ -166,8 +167,8 @@
 			}
 		})
 		e.eachEvacuatedRun(longRunning, func(r *run) {
-			if r.phase == phaseRunning && e.wanted(r) {
-				e.moveElsewhere(r, candidates, now)
+			if s := r.task.step; r.phase == phaseRunning && e.wanted(r) && !withoutRoom[s] {
+				withoutRoom[s] = !e.moveElsewhere(r, candidates, now)
 			}
 		})
 	}
@@ -208,10 +209,11 @@
 	}
 }
 
-// reserve reserves room for another run of a task, and reports whether there is any.
+// reserve reserves room for another run of a task, and reports whether there is any. A best-effort task stays rather
+// than wait for a worker on which it may run at its pace.
 func (e *Engine) reserve(t *task, candidates []*candidate, now time.Duration) bool {
 	best := e.bestCandidate(t, e.scoreCandidates(t.step, candidates, "", now))
-	if best == nil {
+	if best == nil || t.step.def.GetFills() && e.colocation(best.candidate.worker, t.step).pace < minBestEffortPace {
 		return false
 	}
 	best.candidate.reserve(t.step)
@@ -219,8 +221,8 @@
 }
 
 // moveElsewhere stops a run in an evacuated data centre if its task has room elsewhere, which it reserves. A gang moves
-// as a whole.
-func (e *Engine) moveElsewhere(r *run, candidates []*candidate, now time.Duration) {
+// as a whole. It reports whether there is room, or none was looked for.
+func (e *Engine) moveElsewhere(r *run, candidates []*candidate, now time.Duration) (room bool) {
 	s := r.task.step
 	switch {
 	case s.def.GetGang():
@@ -231,7 +233,10 @@
 	case s.def.GetLasting() && !r.withinDisruptionBudget(now), !s.def.GetLasting() && e.finishesThere(r, e.options.EvacuationBound, now):
 	case e.hasCopyElsewhere(r), e.reserve(r.task, candidates, now):
 		e.stopRun(r, now, evacuationReason)
+	default:
+		return false
 	}
+	return true
 }
 
 // hasCopyElsewhere reports whether another copy of a run's task goes on outside the evacuated data centres.
--- a/internal/flow/evacuation/follower.go
+++ b/internal/flow/evacuation/follower.go
@@ -23,8 +23,6 @@
 	listTimeout = 700 * time.Millisecond
 	// retryPause is the pause after a call that failed, which may have failed at once.
 	retryPause = 120 * time.Millisecond
-	// primeAttempts is how many lists a new owner waits for. It places nothing until one has succeeded.
-	primeAttempts = 2
 )
 
 // Cell is the part of the owner of a cell that a Follower uses.
@@ -57,14 +55,9 @@
 // New returns a Follower. Prime and Run must be called next.
 func New(o Options) *Follower { return &Follower{options: o, evacuated: map[string]bool{}} }
 
-// Prime lists the evacuated data centres for a new owner, before its first decision.
-func (f *Follower) Prime(ctx context.Context) {
-	for range primeAttempts {
-		if f.report(ctx, f.list(ctx)) {
-			return
-		}
-	}
-}
+// Prime lists the evacuated data centres for a new owner, before its first decision. If that fails, the owner places nothing
+// until a list of Run succeeds.
+func (f *Follower) Prime(ctx context.Context) { f.report(ctx, f.list(ctx)) }
 
 // Run follows the evacuated data centres until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -77,9 +70,8 @@
 	}
 }
 
-// report logs the begin and the end of a time in which calls fail, and pauses after an error. It reports whether there
-// was none.
-func (f *Follower) report(ctx context.Context, err error) (ok bool) {
+// report logs the begin and the end of a time in which calls fail, and pauses after an error.
+func (f *Follower) report(ctx context.Context, err error) {
 	switch {
 	case ctx.Err() != nil, errors.Is(err, driver.ErrCompacted):
 	case err != nil && !f.unreachable:
@@ -92,7 +84,6 @@
 	if err != nil {
 		loop.Pause(ctx, retryPause)
 	}
-	return err == nil
 }
 
 // list lists the set, which was complete when the list began.
