--- a/internal/flow/evacuation/follower_test.go
+++ b/internal/flow/evacuation/follower_test.go
@@ -132,15 +132,17 @@
 // though nothing fails, or that calls the store all the time.
 func TestSetIsConfirmed(t *testing.T) {
 	follow(t, func(is *is.I, f *fakeOperators) {
+		f.mu.Lock()
 		f.calls = 0
+		f.mu.Unlock()
 		for range 1000 {
 			time.Sleep(10 * time.Millisecond)
 			f.mu.Lock()
 			is.True(f.now()-f.confirmedAt <= time.Second) // confirmed at least once a second
 			f.mu.Unlock()
 		}
-		is.True(f.calls <= 30) // a list and a watch in 0.8 s
 		f.mu.Lock()
+		is.True(f.calls <= 30) // a list and a watch in 0.8 s
 		f.listErr = driver.ErrUnavailable
 		failsFrom := f.now()
 		f.mu.Unlock()
