--- a/internal/telemetry/flow.go
+++ b/internal/telemetry/flow.go
@@ -24,6 +24,8 @@
 	takeovers     prometheus.Counter
 	returns       *prometheus.CounterVec
 	places        prometheus.Gauge
+	evacuated     prometheus.Gauge
+	evacuatedRuns prometheus.Gauge
 }
 
 // NewFlow returns Flow metrics that are registered in the registry of m.
@@ -44,8 +46,10 @@
 		takeovers:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasminebay", Name: "flow_takeovers_total", Help: "Times that this process took the cell."}),
 		returns:       counter("flow_returns_total", "Retries of refused jobs by timing, and places whose callers did not return.", "timing"),
 		places:        gauge("flow_places", "Refused callers whose retry the owner expects."),
+		evacuated:     gauge("flow_evacuated_data_centres", "Data centres that are evacuated."),
+		evacuatedRuns: gauge("flow_evacuated_runs", "Runs that are left in evacuated data centres."),
 	}
-	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers, f.returns, f.places)
+	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers, f.returns, f.places, f.evacuated, f.evacuatedRuns)
 	return f
 }
 
@@ -74,6 +78,12 @@
 	f.returns.WithLabelValues(timing).Add(float64(count))
 }
 
+// SetEvacuated sets the numbers of evacuated data centres and of the runs that are left there.
+func (f *Flow) SetEvacuated(dataCentres, runs int) {
+	f.evacuated.Set(float64(dataCentres))
+	f.evacuatedRuns.Set(float64(runs))
+}
+
 // RecordCall records the duration and status of a client's call.
 func (f *Flow) RecordCall(call, status string, took time.Duration) {
 	f.calls.WithLabelValues(call, status).Observe(took.Seconds())
