Bound what clients of the platform's entries and agents may hold

Requests that stop short of their end held whatever they had sent, and each connection a descriptor and up to 1 MB of headers. With limits.memoryMb and limits.maxFds in the settings, http1 counts connections, heads and bodies in the budget of intake, limits the kernel's receive buffers, and closes connections to make room. Refusals are 503 with Retry-After, and connections closed for memory have an unfinished request only. upload reads a body into a counted buffer, large bodies are decoded one at a time, and a job has its steps decoded up to the owner's limit of 1,000. Without the settings nothing is limited that was not before.

Existing tests changed for signatures alone: upload_test (Read returns a release function), idle_test and unread_test of platform/process (limits of the server).

--- a/internal/flow/engine/job.go
+++ b/internal/flow/engine/job.go
@@ -13,7 +13,7 @@
 
 // Limits on the size of a job, so that one job cannot exhaust an owner's memory.
 const (
-	maxSteps = 1_000
+	MaxSteps = 1_000
 	// maxTasks bounds the tasks of one occurrence, and those of all occurrences that are open.
 	maxTasks       = 20_000
 	maxOccurrences = 10_000
@@ -65,8 +65,8 @@
 // validateSteps returns an error that wraps ErrInvalid if the steps of a job are malformed. Jobs that
 // are stored must pass no more than this, since they were accepted under earlier limits.
 func validateSteps(def *flowpb.Job) error {
-	if len(def.GetSteps()) == 0 || len(def.GetSteps()) > maxSteps {
-		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrInvalid, len(def.GetSteps()), maxSteps)
+	if len(def.GetSteps()) == 0 || len(def.GetSteps()) > MaxSteps {
+		return fmt.Errorf("%w: %d steps, want 1 to %d", ErrInvalid, len(def.GetSteps()), MaxSteps)
 	}
 	tasks := 0
 	for i, s := range def.GetSteps() {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/jasminebay/jasminebay/internal/intake"
 )
 
 // connState says how far the server is with the request on a connection.
@@ -59,16 +61,29 @@
 	// peerClosed is set once the client has closed the connection or reading has failed.
 	peerClosed bool
 	closed     bool
+	// claim is what the connection holds of the server's budget, or nil if the server has none.
+	claim *intake.Claim
+	// evicted is set once the connection is to be closed to free memory, and refused if it is closed
+	// since there was none for its request.
+	evicted, refused bool
+	// uncounted is set while intake.RequestBytes are not counted for the request.
+	uncounted bool
 }
 
 // Read implements net.Conn. A read deadline that passes while the connection waits for a request
 // does not end the connection if a request has arrived, which the process was too slow to read.
 func (c *conn) Read(p []byte) (n int, err error) {
 	for {
+		if c.wasRefused() {
+			return 0, errRefused
+		}
 		n, err = c.Conn.Read(p)
 		switch {
 		case n > 0:
 			c.received()
+			if !c.countHead(n) {
+				return 0, c.refuseHead()
+			}
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.mu.Lock()
 			c.peerClosed = err != nil
@@ -77,6 +92,12 @@
 			continue
 		case c.isToClose():
 			return 0, io.EOF
+		default:
+			if state, evicted := c.wasEvicted(); evicted && state == stateReading {
+				return 0, c.refuseHead()
+			} else if evicted {
+				return 0, intake.ErrFull
+			}
 		}
 		return n, err
 	}
@@ -89,6 +110,7 @@
 	c.lastReadAt = time.Now()
 	if c.state.waiting() {
 		c.leaveWaiting(stateReading)
+		c.begin()
 	}
 }
 
@@ -113,7 +135,7 @@
 		c.deadline = time.Now().Add(timeout)
 	}
 	_ = c.Conn.SetReadDeadline(c.deadline)
-	c.state = stateReading
+	c.begin()
 	return true
 }
 
@@ -144,7 +166,7 @@
 
 // waitDeadline returns until when a connection that is to be closed waits for a request.
 func (c *conn) waitDeadline() time.Time {
-	if c.state == stateNew {
+	if c.state == stateNew && !c.evicted {
 		return c.acceptedAt.Add(firstRequestTimeout)
 	}
 	return longAgo
@@ -159,11 +181,11 @@
 	c.deadline = t
 	if c.state == stateIdle {
 		if c.waitSet {
-			c.state = stateReading
+			c.begin()
 		}
 		c.waitSet = true
 	}
-	if c.closesWaiting && c.state.waiting() {
+	if c.evicted || c.closesWaiting && c.state.waiting() {
 		t = c.waitDeadline()
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -171,13 +193,22 @@
 
 // Write implements net.Conn. Outside of a handler, it is the HTTP server that answers a request which
 // it could not read.
-func (c *conn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (n int, err error) {
 	c.mu.Lock()
 	if c.state.waiting() || c.state == stateReading {
 		c.leaveWaiting(stateAnswered)
 	}
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	if c.server.options.Limits == nil {
+		return c.Conn.Write(p)
+	}
+	for len(p) > 0 && err == nil {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		var written int
+		written, err = c.Conn.Write(p[:min(len(p), writePiece)])
+		n, p = n+written, p[written:]
+	}
+	return n, err
 }
 
 // CloseWrite sends the end of the stream to the client, which lets it read the response before the
@@ -192,8 +223,8 @@
 // Close implements net.Conn. It reports what became of a request.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	first, refuses := !c.closed, c.closesWaiting && c.state.waiting() && !c.peerClosed
-	report := closeReport{state: c.state, byClient: c.peerClosed, lastReadAt: c.lastReadAt}
+	first, refuses := !c.closed, (c.refused || c.closesWaiting && c.state.waiting()) && !c.peerClosed
+	report := closeReport{state: c.state, refused: c.refused, byClient: c.peerClosed, lastReadAt: c.lastReadAt}
 	c.closed = true
 	c.mu.Unlock()
 	if !first {
@@ -207,6 +238,9 @@
 		report.cut = report.unread || report.state == stateReading || report.state == stateServing
 	}
 	err := c.Conn.Close()
+	if c.claim != nil {
+		c.claim.Close()
+	}
 	c.server.recordClose(c, report)
 	c.server.remove(c)
 	return err
@@ -244,11 +278,16 @@
 		return
 	}
 	c.state, c.waitSet = s, false
+	if s == stateIdle && c.claim != nil {
+		c.claim.Idle(time.Now())
+	}
 }
 
 // closeReport tells what became of the request on a connection that was closed.
 type closeReport struct {
 	state connState
+	// refused is set if there was no memory for the head of the request.
+	refused bool
 	// crossed is set if a request was refused that came while the connection was closed.
 	crossed bool
 	// unread is set if bytes have arrived that were neither read nor refused.
@@ -263,6 +302,8 @@
 // outcome returns what the report tells, for logs and metrics.
 func (r closeReport) outcome() string {
 	switch {
+	case r.refused:
+		return "refused"
 	case r.crossed:
 		return "crossed"
 	case r.unread:
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -47,7 +47,9 @@
 	MaxHeaderBytes int
 	// Refuse writes the response to a request that is not read, since it was sent while a server that
 	// stops closed its idle connection. It must say that the request was not run.
-	Refuse  func(http.ResponseWriter)
+	Refuse func(http.ResponseWriter)
+	// Limits bounds what connections hold, or is nil. With it, heads are limited even if MaxHeaderBytes is 0.
+	Limits  *Limits
 	Log     *slog.Logger
 	Metrics *telemetry.Connections
 }
@@ -69,6 +71,8 @@
 	changed chan struct{}
 	// announcedAt is when Announce was called, or zero.
 	announcedAt time.Time
+	// refusing counts connections outside the budget.
+	refusing int
 	// stopping is set once connections without a request are closed, and aborting once all are.
 	stopping, aborting bool
 }
@@ -78,6 +82,9 @@
 
 // New returns a Server.
 func New(o Options) *Server {
+	if o.Limits != nil && o.MaxHeaderBytes == 0 {
+		o.MaxHeaderBytes = defaultMaxHeadBytes
+	}
 	s := &Server{options: o, refusal: render(o.Refuse), conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{}, changed: make(chan struct{})}
 	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
@@ -125,6 +132,9 @@
 func (s *Server) Serve(accepting net.Listener) (err error) {
 	defer errs.Annotate(&err, "http1: serve %s", accepting.Addr())
 	l := &listener{Listener: accepting, server: s}
+	if s.options.Limits != nil {
+		limitReceiveBuffers(accepting)
+	}
 	s.mu.Lock()
 	if s.stopping {
 		s.mu.Unlock()
@@ -148,10 +158,15 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*conn)
 	c.setState(stateServing)
-	if s.stoppingFor() > 0 {
+	counted, ok := c.admit(r)
+	if s.stoppingFor() > 0 || !ok {
 		w.Header().Set("Connection", "close")
 	}
-	s.options.Handler.ServeHTTP(w, r)
+	if ok {
+		s.options.Handler.ServeHTTP(w, counted)
+	} else {
+		s.options.Refuse(w)
+	}
 	c.setState(stateAnswered)
 }
 
@@ -287,6 +302,25 @@
 	}
 }
 
+// refuseNewcomer closes a connection outside the budget with a refusal, if there are not many.
+func (s *Server) refuseNewcomer(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing >= maxRefusing {
+		_ = c.Conn.Close()
+		return
+	}
+	s.refusing++
+	s.conns[c] = struct{}{}
+	go func() {
+		c.closeWaiting()
+		c.refuseFirst()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refusing--
+	}()
+}
+
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -337,6 +371,10 @@
 		case err == nil:
 			now := time.Now()
 			c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
+			if limits := l.server.options.Limits; limits != nil && !c.open(limits, l.closing.Load) {
+				l.server.refuseNewcomer(c)
+				continue
+			}
 			l.server.add(c)
 			if l.closing.Load() {
 				l.lastAccepts++
--- a/internal/upload/upload_test.go
+++ b/internal/upload/upload_test.go
@@ -32,7 +32,7 @@
 	results := make(chan result, 1)
 	s := http1.New(http1.Options{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, err := Read(w, r, maxBody, bodyTimeout)
+			_, _, err := Read(w, r, maxBody, bodyTimeout)
 			select {
 			case <-time.After(work):
 			case <-r.Context().Done():
