Bound what clients of entry and agent may hold

Bodies are read with upload, and all bodies in an entry's memory, those from other entries included, stay within the budget.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -9,8 +11,10 @@
 	"github.com/jasminebay/jasminebay/internal/driver"
 	"github.com/jasminebay/jasminebay/internal/gate"
 	"github.com/jasminebay/jasminebay/internal/http1"
+	"github.com/jasminebay/jasminebay/internal/intake"
 	"github.com/jasminebay/jasminebay/internal/problem"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
+	"github.com/jasminebay/jasminebay/internal/upload"
 )
 
 // Limits of an announcement.
@@ -21,19 +25,27 @@
 	maxUpstreams         = 16
 )
 
-// readHeaderTimeout bounds the read of a request's header.
-const readHeaderTimeout = 5 * time.Second
+const (
+	// readHeaderTimeout bounds the read of a request's header.
+	readHeaderTimeout = 5 * time.Second
+	// announcementTimeout bounds the read of an announcement.
+	announcementTimeout = 30 * time.Second
+)
 
 // NewServer returns a server of Handler.
 func (a *Agent) NewServer() *http1.Server {
 	return http1.New(http1.Options{
 		Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout, Log: a.options.Log, Metrics: telemetry.NewConnections(a.options.Metrics),
-		Refuse: func(w http.ResponseWriter) {
-			problem.Write(w, http.StatusServiceUnavailable, "draining", "the connection was closed before the request came")
-		},
+		Refuse: refuse, Limits: a.options.Limits,
 	})
 }
 
+// refuse writes the response to a request that was not read.
+func refuse(w http.ResponseWriter) {
+	problem.RetryAfter(w, time.Second)
+	problem.Write(w, http.StatusServiceUnavailable, "draining", "the connection was closed before the request came")
+}
+
 // Handler serves the announcements of upstreams, health checks and metrics.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -56,8 +68,16 @@
 
 func (a *Agent) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
 	var announcement driver.Announcement
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
-	if err := d.Decode(&announcement); err != nil {
+	raw, release, err := upload.Read(w, r, maxAnnouncementBytes, announcementTimeout)
+	defer release()
+	if errors.Is(err, intake.ErrFull) {
+		refuse(w)
+		return
+	}
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(raw)).Decode(&announcement)
+	}
+	if err != nil {
 		problem.Write(w, http.StatusBadRequest, "invalid", fmt.Sprintf("announcement: %v", err))
 		return
 	}
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
@@ -23,8 +24,10 @@
 	Heartbeat time.Duration
 	// DrainTimeout bounds the wait for requests in flight on shutdown.
 	DrainTimeout time.Duration
-	Worker       driver.Worker
-	Upstream     driver.Upstream
-	Log          *slog.Logger
-	Metrics      *telemetry.Metrics
+	// Limits bounds what connections to the agent's address hold, or is nil.
+	Limits   *http1.Limits
+	Worker   driver.Worker
+	Upstream driver.Upstream
+	Log      *slog.Logger
+	Metrics  *telemetry.Metrics
 }
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -13,6 +13,8 @@
 	"github.com/jasminebay/jasminebay/internal/driver/upstream"
 	"github.com/jasminebay/jasminebay/internal/driver/worker"
 	"github.com/jasminebay/jasminebay/internal/entry"
+	"github.com/jasminebay/jasminebay/internal/http1"
+	"github.com/jasminebay/jasminebay/internal/intake"
 	"github.com/jasminebay/jasminebay/internal/route"
 	"github.com/jasminebay/jasminebay/internal/settings"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
@@ -28,6 +30,15 @@
 	return kv.New(kv.Options{Address: s.Store, Timeout: storeTimeout, Log: log})
 }
 
+// newLimits returns the limits of what clients may hold, or nil without settings.
+func newLimits(memoryLimit, maxConns int64, m *telemetry.Metrics) *http1.Limits {
+	if memoryLimit == 0 && maxConns == 0 {
+		return nil
+	}
+	b := intake.NewBudget(intake.BudgetBytes(memoryLimit), int(maxConns))
+	return &http1.Limits{Budget: b, Metrics: telemetry.NewIntake(m, b.Usage)}
+}
+
 func provideHolder(s *settings.Entry) *config.Holder { return config.NewHolder(s.Environment) }
 
 func provideWatcher(store driver.Store, h *config.Holder, log *slog.Logger, m *telemetry.Metrics) *config.Watcher {
@@ -68,6 +79,7 @@
 	return entry.Options{
 		ID: s.ID, System: s.System, DataCentre: s.DataCentre, Advertise: s.Advertise, AdvertisePeers: s.PeerAddress, Peers: s.Peers, DrainTimeout: s.Drain(),
 		Grant: s.GrantDuration(), Margin: s.GrantMargin(), StoreSilence: s.MaxStoreSilence(),
+		MaxBodyBytes: intake.BudgetBytes(s.MemoryLimit), Limits: newLimits(s.MemoryLimit, s.MaxConns, m),
 		Store: store, Placer: p, Holder: h, Watcher: w, Editor: ed, Claims: c, Router: r, Log: log, Metrics: m,
 	}
 }
@@ -84,6 +96,6 @@
 func provideAgentOptions(s *settings.Agent, w driver.Worker, u driver.Upstream, log *slog.Logger, m *telemetry.Metrics) agent.Options {
 	return agent.Options{
 		ID: s.ID, System: s.System, DataCentre: s.DataCentre, Rack: s.Rack, Entries: s.Entries, Reservation: s.Reservation(),
-		Heartbeat: s.HeartbeatInterval(), DrainTimeout: s.Drain(), Worker: w, Upstream: u, Log: log, Metrics: m,
+		Heartbeat: s.HeartbeatInterval(), DrainTimeout: s.Drain(), Limits: newLimits(s.MemoryLimit, s.MaxConns, m), Worker: w, Upstream: u, Log: log, Metrics: m,
 	}
 }
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminebay/jasminebay/internal/app"
 	"github.com/jasminebay/jasminebay/internal/entry"
+	"github.com/jasminebay/jasminebay/internal/intake"
 	"github.com/jasminebay/jasminebay/internal/settings"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
@@ -43,11 +44,23 @@
 	if l, err = listen(&c.Entry); err != nil {
 		return err
 	}
+	limitMemory(c.MemoryLimit, 0)
 	log, flush := newLogger(c.Level())
 	defer flush()
 	return app.NewEntry(&c.Entry, log).Run(c.ctx, l)
 }
 
+// limitMemory sets the soft limit of the Go runtime for a memory limit, or the usual one without a limit. It
+// sets none if that is 0.
+func limitMemory(limit, usual int64) {
+	if limit > 0 {
+		usual = intake.SoftLimit(limit)
+	}
+	if usual > 0 {
+		debug.SetMemoryLimit(usual)
+	}
+}
+
 // newLogger returns a logger to standard error and a function that writes out what is buffered.
 func newLogger(level slog.Level) (*slog.Logger, func()) {
 	out := telemetry.NewLogWriter(os.Stderr)
@@ -84,7 +97,7 @@
 	if err = c.Check(); err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(agentMemoryLimit)
+	limitMemory(c.MemoryLimit, agentMemoryLimit)
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("--listen: %w", err)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -13,10 +13,12 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"github.com/jasminebay/jasminebay/internal/http1"
+	"github.com/jasminebay/jasminebay/internal/intake"
 	"github.com/jasminebay/jasminebay/internal/peer"
 	"github.com/jasminebay/jasminebay/internal/problem"
 	"github.com/jasminebay/jasminebay/internal/route"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
+	"github.com/jasminebay/jasminebay/internal/upload"
 	"github.com/jasminebay/jasminebay/pkg/client"
 	"github.com/jasminebay/jasminebay/pkg/document"
 )
@@ -37,7 +39,7 @@
 func (e *Entry) newServer(h http.Handler, m *telemetry.Connections) *http1.Server {
 	return http1.New(http1.Options{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMaxBytes,
-		Refuse: refuse, Log: e.log, Metrics: m,
+		Refuse: refuse, Limits: e.options.Limits, Log: e.log, Metrics: m,
 	})
 }
 
@@ -194,19 +196,23 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
 	defer cancel()
 	if e.bodyMemory.Acquire(ctx, reserved) != nil {
-		problem.RetryAfter(w, bodiesFullRetryAfter)
-		return nil, &problem.Problem{Type: "full", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "too many bodies are being received", RequestID: q.ID}
+		p := fullProblem(w, q.ID)
+		return nil, &p
+	}
+	body, releaseBody, err := upload.Read(w, r, peer.BodyMaxBytes, min(bodyReadTimeout, time.Until(q.Deadline)))
+	release := func() {
+		releaseBody()
+		e.bodyMemory.Release(reserved)
 	}
-	release := func() { e.bodyMemory.Release(reserved) }
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), q.Deadline))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, peer.BodyMaxBytes), r.ContentLength)
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
 		q.Body = body
 		return release, nil
 	}
 	release()
+	if errors.Is(err, intake.ErrFull) {
+		p := fullProblem(w, q.ID)
+		return nil, &p
+	}
 	// Close the connection instead of reading the rest of the body.
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
@@ -216,21 +222,25 @@
 	return nil, &problem.Problem{Type: "incomplete-body", Status: http.StatusBadRequest, Outcome: problem.OutcomeNotRun, Detail: "the body was not received whole in time", RequestID: q.ID}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+// fullProblem returns the response to a request for whose body there is no memory.
+func fullProblem(w http.ResponseWriter, id string) problem.Problem {
+	problem.RetryAfter(w, bodiesFullRetryAfter)
+	return problem.Problem{Type: "full", Status: http.StatusServiceUnavailable, Outcome: problem.OutcomeNotRun, Detail: "too many bodies are being received", RequestID: id}
 }
 
-// readAll reads a body, into a single buffer if its length was announced.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
+// readOperation reads the body of a call that is not routed. If it fails, it writes the response, with the given
+// status, type and detail unless there was no memory for the body.
+func readOperation(r *restful.Request, w *restful.Response, maxBytes int64, status int, kind, detail string) (raw []byte, release func(), ok bool) {
+	raw, release, err := upload.Read(w.ResponseWriter, r.Request, maxBytes, requestTimeoutMax)
+	switch {
+	case errors.Is(err, intake.ErrFull):
+		problem.Send(w, fullProblem(w, ""))
+	case err != nil && detail == "":
+		problem.Write(w, status, kind, err.Error())
+	case err != nil:
+		problem.Write(w, status, kind, detail)
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	return raw, release, err == nil
 }
 
 // writeOutcome writes the problem response for a request without a response of an upstream.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,13 @@
 	stateSequence uint64
 }
 
+func bodyMemory(maxBytes int64) int64 {
+	if maxBytes <= 0 {
+		return bufferedBodiesMaxBytes
+	}
+	return min(maxBytes, bufferedBodiesMaxBytes)
+}
+
 // New returns an Entry that does nothing until Run is called.
 func New(o Options) *Entry {
 	incarnation := rand.Uint64() | 1
@@ -89,7 +96,7 @@
 		instance:    o.ID + "/" + strconv.FormatUint(incarnation, 36),
 		loop:        loop.New(),
 		startedAt:   time.Now(),
-		bodyMemory:  semaphore.NewWeighted(bufferedBodiesMaxBytes),
+		bodyMemory:  semaphore.NewWeighted(bodyMemory(o.MaxBodyBytes)),
 		log:         o.Log.With("entry", o.ID, "data-centre", o.DataCentre),
 		loopState: loopState{
 			agents:      map[string]*agentSession{},
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -59,11 +58,11 @@
 
 // postJob accepts a job and responds once the job is durable.
 func (e *Entry) postJob(r *restful.Request, w *restful.Response) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Request.Body, jobMaxBytes))
-	if err != nil {
-		problem.Write(w, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("a job is at most %d bytes", jobMaxBytes))
+	raw, release, ok := readOperation(r, w, jobMaxBytes, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("a job is at most %d bytes", jobMaxBytes))
+	if !ok {
 		return
 	}
+	defer release()
 	job, faults := e.parseJob(raw)
 	if len(faults) > 0 {
 		sendFaults(w, faults)
@@ -83,6 +82,7 @@
 		return
 	}
 	job.Id = name + "-" + strconv.FormatUint(rand.Uint64(), 36)
+	var err error
 	if key != "" {
 		job.Id, err = e.claimJobKey(ctx, key, job.GetId())
 	}
@@ -198,11 +198,11 @@
 // postSettlement records an operator's decision on a task whose outcome is unknown.
 func (e *Entry) postSettlement(r *restful.Request, w *restful.Response) {
 	var s client.Settlement
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Request.Body, jobMaxBytes))
-	if err != nil {
-		problem.Write(w, http.StatusBadRequest, "invalid", err.Error())
+	raw, release, ok := readOperation(r, w, jobMaxBytes, http.StatusBadRequest, "invalid", "")
+	if !ok {
 		return
 	}
+	defer release()
 	faults := document.Strict(raw, &s)
 	if len(faults) == 0 && s.Outcome != "finished" && s.Outcome != problem.OutcomeNotRun {
 		faults = document.Faults{{Path: "$.outcome", Message: fmt.Sprintf("%q is not one of finished, not-run", s.Outcome)}}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -97,11 +96,11 @@
 		problem.Write(w, http.StatusPreconditionRequired, "no-revision", err.Error())
 		return
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Request.Body, document.MaxBytes))
-	if err != nil {
-		problem.Write(w, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("a document is at most %d bytes", document.MaxBytes))
+	raw, release, ok := readOperation(r, w, document.MaxBytes, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("a document is at most %d bytes", document.MaxBytes))
+	if !ok {
 		return
 	}
+	defer release()
 	ctx, cancel := context.WithTimeout(r.Request.Context(), operatorTimeout)
 	defer cancel()
 	next, record, err := e.options.Editor.Put(ctx, environment, revision, raw)
@@ -115,12 +114,12 @@
 		problem.Write(w, http.StatusPreconditionRequired, "no-revision", err.Error())
 		return
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Request.Body, jobMaxBytes))
-	var p client.Promotion
-	if err != nil {
-		problem.Write(w, http.StatusBadRequest, "invalid", err.Error())
+	raw, release, ok := readOperation(r, w, jobMaxBytes, http.StatusBadRequest, "invalid", "")
+	if !ok {
 		return
 	}
+	defer release()
+	var p client.Promotion
 	if faults := document.Strict(raw, &p); len(faults) > 0 {
 		sendFaults(w, faults)
 		return
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 	"github.com/jasminebay/jasminebay/internal/claim"
 	"github.com/jasminebay/jasminebay/internal/config"
 	"github.com/jasminebay/jasminebay/internal/driver"
+	"github.com/jasminebay/jasminebay/internal/http1"
 	"github.com/jasminebay/jasminebay/internal/route"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
@@ -26,6 +27,10 @@
 	Peers []string
 	// DrainTimeout bounds the wait for requests in flight on shutdown.
 	DrainTimeout time.Duration
+	// Limits bounds what connections of callers and operators hold, or is nil. MaxBodyBytes bounds the
+	// bodies in memory, those from other entries included; 0 sets the usual bound.
+	Limits       *http1.Limits
+	MaxBodyBytes int64
 	// Grant, Margin and StoreSilence are passed to cell.Options.
 	Grant        time.Duration
 	Margin       time.Duration
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -26,6 +26,8 @@
 	ReserveBytes int64    `long:"reserve-memory-bytes" env:"JASMINEBAY_RESERVE_MEMORY_BYTES" description:"memory kept for the upstreams" value-name:"BYTES" default:"0"`
 	Heartbeat    string   `long:"heartbeat" env:"JASMINEBAY_HEARTBEAT" description:"time between heartbeats" value-name:"DURATION" default:"1s"`
 	DrainTimeout string   `long:"drain-timeout" env:"JASMINEBAY_DRAIN_TIMEOUT" description:"bound on ending the requests in flight on SIGTERM" value-name:"DURATION" default:"30s"`
+	MemoryLimit  int64    `long:"memory-limit" env:"JASMINEBAY_MEMORY_LIMIT" description:"memory that this process may use; 0 bounds nothing that clients hold" value-name:"BYTES" default:"0"`
+	MaxConns     int64    `long:"max-connections" env:"JASMINEBAY_MAX_CONNECTIONS" description:"connections to --listen at a time; 0 sets no limit" value-name:"COUNT" default:"0"`
 	LogLevel     string   `long:"log-level" env:"JASMINEBAY_LOG_LEVEL" description:"least level of log lines" value-name:"LEVEL" default:"info"`
 
 	parsed parsedAgent
@@ -51,6 +53,8 @@
 	if s.Worker != "" {
 		f.checkURL("worker", s.Worker)
 	}
+	f.checkLimit("memory-limit", s.MemoryLimit, agentMemoryMin)
+	f.checkLimit("max-connections", s.MaxConns, connectionsMin)
 	f.checkAmount("reserve-milli-cpu", s.ReserveCPU)
 	f.checkAmount("reserve-memory-bytes", s.ReserveBytes)
 	s.parsed = parsedAgent{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,8 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+const limitMax = 1 << 50
+
 // Fault describes a setting whose value is not allowed.
 type Fault struct {
 	Flag  string
@@ -79,6 +81,13 @@
 	}
 }
 
+// checkLimit adds a fault unless a limit is 0 or at least low. Its largest value is beyond any VM.
+func (f *Faults) checkLimit(flag string, value, low int64) {
+	if value != 0 && (value < low || value > limitMax) {
+		f.add(flag, fmt.Sprint(value), fmt.Sprintf("0 or an amount of at least %d", low))
+	}
+}
+
 func (f *Faults) checkLevel(flag, value string) (level slog.Level) {
 	if level.UnmarshalText([]byte(value)) != nil {
 		f.add(flag, value, "one of debug, info, warn, error")
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -15,6 +15,14 @@
 	storeSilenceMax = 6 * time.Hour
 )
 
+// Least limits of memory and of connections. One connection holds a fifteenth of the memory at most, and the largest
+// legal body of a caller, 8 MiB, takes half as much again while it is received.
+const (
+	entryMemoryMin = 256 << 20
+	agentMemoryMin = 64 << 20
+	connectionsMin = 64
+)
+
 // Entry holds the settings of an entry.
 type Entry struct {
 	ID           string   `long:"id" env:"JASMINEBAY_ID" description:"name of this entry" value-name:"NAME" required:"yes"`
@@ -32,6 +40,8 @@
 	Grant        string   `long:"grant" env:"JASMINEBAY_GRANT" description:"how long a worker may run tasks after its last answered heartbeat" value-name:"DURATION" default:"15s"`
 	Margin       string   `long:"grant-margin" env:"JASMINEBAY_GRANT_MARGIN" description:"allowance for clock drift on top of a grant" value-name:"DURATION" default:"3s"`
 	StoreSilence string   `long:"store-silence" env:"JASMINEBAY_STORE_SILENCE" description:"how long grants are renewed while the key-value service does not answer" value-name:"DURATION" default:"10m"`
+	MemoryLimit  int64    `long:"memory-limit" env:"JASMINEBAY_MEMORY_LIMIT" description:"memory that this process may use; 0 sets no limit" value-name:"BYTES" default:"0"`
+	MaxConns     int64    `long:"max-connections" env:"JASMINEBAY_MAX_CONNECTIONS" description:"connections of callers and operators at a time; 0 sets no limit" value-name:"COUNT" default:"0"`
 	LogLevel     string   `long:"log-level" env:"JASMINEBAY_LOG_LEVEL" description:"least level of log lines" value-name:"LEVEL" default:"info"`
 
 	parsed parsedEntry
@@ -58,6 +68,8 @@
 		f.checkAddress("advertise-peers", s.PeerAddress)
 	}
 	f.checkURL("store", s.Store)
+	f.checkLimit("memory-limit", s.MemoryLimit, entryMemoryMin)
+	f.checkLimit("max-connections", s.MaxConns, connectionsMin)
 	for _, p := range s.Peers {
 		f.checkAddress("peer", p)
 	}
