--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -225,6 +225,13 @@
 	return err
 }
 
+// Close closes all connections and listeners at once.
+func (s *Server) Close() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return s.Stop(ctx, 0)
+}
+
 // unansweredError returns an error if requests are still served.
 func (s *Server) unansweredError() error {
 	s.mu.Lock()
