--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
 
+	"github.com/jasminebay/jasminebay/internal/intake"
 	"github.com/jasminebay/jasminebay/internal/telemetry"
 )
 
@@ -40,8 +41,20 @@
 // TestStopCutsNoRequest runs the scripts in testdata/stop, in which requests reach a server that has no
 // processor time to read them while it stops. It guards against connections that are closed with them.
 func TestStopCutsNoRequest(t *testing.T) {
+	testStop(t, func() *Limits { return nil })
+}
+
+// TestLimitedStopCutsNoRequest is TestStopCutsNoRequest with limits of what clients hold.
+func TestLimitedStopCutsNoRequest(t *testing.T) {
+	testStop(t, func() *Limits {
+		b := intake.NewBudget(8<<20, 64)
+		return &Limits{Budget: b, Metrics: telemetry.NewIntake(telemetry.NewMetrics(), b.Usage)}
+	})
+}
+
+func testStop(t *testing.T, newLimits func() *Limits) {
 	datadriven.Walk(t, "testdata/stop", func(t *testing.T, path string) {
-		w := newWorld(t, path)
+		w := newWorld(t, path, newLimits())
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return w.runCommand(t, d) })
 	})
 }
@@ -156,7 +169,7 @@
 	return strings.Count(b.buffer.String(), text)
 }
 
-func newWorld(t *testing.T, script string) *world {
+func newWorld(t *testing.T, script string, limits *Limits) *world {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -170,7 +183,7 @@
 		headerTimeout = shortHeaderTimeout
 	}
 	w.server = New(Options{
-		Handler: http.HandlerFunc(w.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: answerWait,
+		Handler: http.HandlerFunc(w.handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: answerWait, Limits: limits,
 		Refuse: func(rw http.ResponseWriter) { rw.WriteHeader(http.StatusServiceUnavailable) },
 		Log:    slog.New(slog.NewTextHandler(io.MultiWriter(t.Output(), &w.log), nil)), Metrics: telemetry.NewConnections(telemetry.NewMetrics()),
 	})
