Admit newcomers without waiting for the connections closed for them

A connection closed for a newcomer lingers up to 0.3 s for its client, and the next one was accepted only then: 3 a second beside silent clients. Up to an eighth of the connections may now be on their way out beside the others, and one that never had a request does not linger.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -251,7 +251,7 @@
 // answer. Clients without a request drop the connection (RFC 9112, section 9.2).
 func (c *conn) refuse() (crossed bool) {
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
-	if _, err := c.Conn.Write(c.server.refusal); err != nil || c.CloseWrite() != nil {
+	if _, err := c.Conn.Write(c.server.refusal); err != nil || c.CloseWrite() != nil || c.evictedUnused() {
 		return false
 	}
 	n, _ := io.Copy(io.Discard, c.Conn)
--- a/internal/http1/limits.go
+++ b/internal/http1/limits.go
@@ -181,6 +181,14 @@
 // errRefused is an error on which the HTTP server closes a connection without a response of its own.
 var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: intake.ErrFull}
 
+// evictedUnused reports whether the connection is closed to free memory and has not carried a request. Many such
+// connections may come at once, so that nothing waits for their clients.
+func (c *conn) evictedUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted && c.state == stateNew
+}
+
 // refuseHead has the connection closed with a refusal, since there is no memory for the head of its
 // request.
 func (c *conn) refuseHead() error {
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -19,6 +19,10 @@
 	// shareFraction is the part that a single connection can hold.
 	largeFraction = 0.75
 	shareFraction = 0.25
+	// Connections on their way out may be open beside the most that are allowed, up to one in spareDivisor
+	// of these and up to maxSpare.
+	spareDivisor = 8
+	maxSpare     = 256
 	// grace is how long an unfinished request is not closed for a large one. Clients inside the limits
 	// have sent theirs by then.
 	grace = 300 * time.Millisecond
@@ -39,7 +43,7 @@
 // Budget allocates bytes to connections. It is safe for concurrent use.
 type Budget struct {
 	maxBytes, largeBytes, shareBytes int64
-	maxConns                         int
+	maxConns, spareConns             int
 	mu                               sync.Mutex
 	claims                           map[*Claim]struct{}
 	used                             int64
@@ -88,7 +92,7 @@
 		maxConns = math.MaxInt / 4
 	}
 	return &Budget{
-		maxBytes: maxBytes, largeBytes: int64(largeFraction * float64(maxBytes)), shareBytes: int64(shareFraction * float64(maxBytes)), maxConns: maxConns,
+		maxBytes: maxBytes, largeBytes: int64(largeFraction * float64(maxBytes)), shareBytes: int64(shareFraction * float64(maxBytes)), maxConns: maxConns, spareConns: min(maxConns/spareDivisor, maxSpare),
 		claims: map[*Claim]struct{}{}, changed: make(chan struct{}),
 	}
 }
@@ -147,6 +151,10 @@
 		}
 		return Decision{}
 	}
+	// A newcomer need not wait for a connection that waits for its client to close it, as long as they are few.
+	if c == nil && b.leavingConns <= b.spareConns {
+		d.Granted, d.Wait = true, nil
+	}
 	return d
 }
 
