intake: call what a connection holds a holding, and say new connection

Cause: claim is the record that names the agent of an idempotency key (internal/claim) and was also the part of a connection in the memory budget; newcomer is a caller that was not refused before (returns.go) and was also a new connection; a connection was on its way out. Measured: vet, staticcheck and the tests of internal/intake, http1, upload, driver pass.

--- a/internal/driver/runner.go
+++ b/internal/driver/runner.go
@@ -39,7 +39,7 @@
 
 // MaxStartAge is how long after the agent's report that the owner had last heard a start is sent to the
 // runner at the latest. Its task may have ended elsewhere meanwhile, and no start may come later than
-// 1 s after that (RULES.md, TWICE). The time until which an owner may place tasks without knowing of an
+// 1 s after that. The time until which an owner may place tasks without knowing of an
 // evacuation counts on it, too.
 const MaxStartAge = time.Second
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -61,8 +61,8 @@
 	// peerClosed is set once the client has closed the connection or reading has failed.
 	peerClosed bool
 	closed     bool
-	// claim is what the connection holds of the server's budget, or nil if the server has none.
-	claim *intake.Claim
+	// holding is what the connection holds of the server's budget, or nil if the server has none.
+	holding *intake.Holding
 	// evicted is set once the connection is to be closed to free memory, and refused if it is closed
 	// since there was none for its request.
 	evicted, refused bool
@@ -238,8 +238,8 @@
 		report.cut = report.unread || report.state == stateReading || report.state == stateServing
 	}
 	err := c.Conn.Close()
-	if c.claim != nil {
-		c.claim.Close()
+	if c.holding != nil {
+		c.holding.Close()
 	}
 	c.server.recordClose(c, report)
 	c.server.remove(c)
@@ -278,8 +278,8 @@
 		return
 	}
 	c.state, c.waitSet = s, false
-	if s == stateIdle && c.claim != nil {
-		c.claim.Idle(time.Now())
+	if s == stateIdle && c.holding != nil {
+		c.holding.Idle(time.Now())
 	}
 }
 
--- a/internal/http1/limits.go
+++ b/internal/http1/limits.go
@@ -55,8 +55,8 @@
 func (c *conn) open(l *Limits, stop func() bool) bool {
 	for deadline := time.Now().Add(roomTimeout); ; {
 		c.mu.Lock()
-		claim, d := l.Budget.Open(time.Now(), c.evict)
-		c.claim = claim
+		holding, d := l.Budget.Open(time.Now(), c.evict)
+		c.holding = holding
 		c.mu.Unlock()
 		evict(d)
 		if d.Granted {
@@ -85,7 +85,7 @@
 func (c *conn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || !c.claim.Selected() {
+	if c.closed || !c.holding.Selected() {
 		return
 	}
 	c.evicted, c.closesWaiting = true, true
@@ -98,15 +98,15 @@
 // begin enters stateReading. The caller holds mu.
 func (c *conn) begin() {
 	c.state = stateReading
-	if c.claim != nil {
-		c.claim.Begin(time.Now())
+	if c.holding != nil {
+		c.holding.Begin(time.Now())
 		c.evicted, c.uncounted = false, true
 	}
 }
 
 // countHead counts bytes of a request's head, and reports false if the request has to be refused.
 func (c *conn) countHead(n int) bool {
-	if c.claim == nil {
+	if c.holding == nil {
 		return true
 	}
 	c.mu.Lock()
@@ -119,7 +119,7 @@
 		bytes += headFactor * int64(n)
 	}
 	c.mu.Unlock()
-	c.claim.Progress(time.Now())
+	c.holding.Progress(time.Now())
 	return bytes == 0 || c.reserve("head", bytes) == nil
 }
 
@@ -127,7 +127,7 @@
 func (c *conn) Reserve(bytes int64) error { return c.reserve("body", bytes) }
 
 func (c *conn) reserve(what string, bytes int64) error {
-	d := c.claim.Take(time.Now(), bytes)
+	d := c.holding.Take(time.Now(), bytes)
 	evict(d)
 	if !d.Granted && d.Wait != nil {
 		d = c.waitForRoom(bytes, d)
@@ -154,7 +154,7 @@
 	for !d.Granted && d.Wait != nil {
 		select {
 		case <-d.Wait:
-			d = c.claim.Take(time.Now(), bytes)
+			d = c.holding.Take(time.Now(), bytes)
 			evict(d)
 		case <-timeout:
 			return d
@@ -169,7 +169,7 @@
 }
 
 // Release implements intake.Account.
-func (c *conn) Release(bytes int64) { c.claim.Give(time.Now(), bytes) }
+func (c *conn) Release(bytes int64) { c.holding.Give(time.Now(), bytes) }
 
 // wasEvicted reports whether the connection was closed in the middle of a request, and in which state.
 func (c *conn) wasEvicted() (state connState, evicted bool) {
@@ -195,7 +195,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused = true
-	c.claim.Idle(time.Now())
+	c.holding.Idle(time.Now())
 	return errRefused
 }
 
@@ -207,7 +207,7 @@
 	return c.refused
 }
 
-// countedBody is the body of a request on a connection with a claim.
+// countedBody is the body of a request on a connection with a holding.
 type countedBody struct {
 	io.ReadCloser
 	conn *conn
@@ -216,7 +216,7 @@
 // Read implements io.Reader.
 func (b countedBody) Read(p []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && !b.conn.claim.Complete() {
+	if errors.Is(err, io.EOF) && !b.conn.holding.Complete() {
 		err = intake.ErrFull
 	}
 	return n, err
@@ -224,14 +224,14 @@
 
 // admit counts a request whose head was read, and reports whether it can be served.
 func (c *conn) admit(r *http.Request) (counted *http.Request, ok bool) {
-	if c.claim == nil {
+	if c.holding == nil {
 		return r, true
 	}
 	if !c.countHead(0) {
 		return r, false
 	}
 	if r.Body == nil || r.Body == http.NoBody {
-		return r, c.claim.Complete()
+		return r, c.holding.Complete()
 	}
 	r = r.WithContext(intake.WithAccount(r.Context(), c))
 	r.Body = countedBody{r.Body, c}
--- a/internal/http1/limits_test.go
+++ b/internal/http1/limits_test.go
@@ -122,7 +122,7 @@
 	s.is.NoErr(<-stopped)
 }
 
-// TestSilentConnectionGivesWay guards against connections without a request that keep newcomers out.
+// TestSilentConnectionGivesWay guards against connections without a request that keep new ones out.
 func TestSilentConnectionGivesWay(t *testing.T) {
 	s := newLimited(t, 0, 3)
 	close(s.answers)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -309,8 +309,8 @@
 	}
 }
 
-// refuseNewcomer closes a connection outside the budget with a refusal, if there are not many.
-func (s *Server) refuseNewcomer(c *conn) {
+// refuseNewConn closes a connection outside the budget with a refusal, if there are not many.
+func (s *Server) refuseNewConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refusing >= maxRefusing {
@@ -379,7 +379,7 @@
 			now := time.Now()
 			c := &conn{Conn: accepted, server: l.server, acceptedAt: now, lastReadAt: now}
 			if limits := l.server.options.Limits; limits != nil && !c.open(limits, l.closing.Load) {
-				l.server.refuseNewcomer(c)
+				l.server.refuseNewConn(c)
 				continue
 			}
 			l.server.add(c)
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -19,7 +19,7 @@
 	// shareFraction is the part that a single connection can hold.
 	largeFraction = 0.75
 	shareFraction = 0.25
-	// Connections on their way out may be open beside the most that are allowed, up to one in spareDivisor
+	// Connections that are being closed may be open beside the most that are allowed, up to one in spareDivisor
 	// of these and up to maxSpare.
 	spareDivisor = 8
 	maxSpare     = 256
@@ -45,7 +45,7 @@
 	maxBytes, largeBytes, shareBytes int64
 	maxConns, spareConns             int
 	mu                               sync.Mutex
-	claims                           map[*Claim]struct{}
+	holdings                         map[*Holding]struct{}
 	used                             int64
 	// leavingBytes and leavingConns belong to connections that were selected and are not closed yet.
 	leavingBytes int64
@@ -54,10 +54,10 @@
 	changed chan struct{}
 }
 
-// Claim is what one connection holds.
-type Claim struct {
+// Holding is what one connection holds.
+type Holding struct {
 	budget *Budget
-	// evict is called by the receiver of a Decision that selects this claim.
+	// evict is called by the receiver of a Decision that selects this holding.
 	evict func()
 	held  int64
 	phase phase
@@ -79,8 +79,8 @@
 	Wait <-chan struct{}
 	// Small is set if it was an ordinary request that asked.
 	Small bool
-	// Selected are the claims whose connections are to be closed.
-	Selected []*Claim
+	// Selected are the holdings whose connections are to be closed.
+	Selected []*Holding
 }
 
 // NewBudget returns a Budget of that many bytes and connections, where 0 means no limit.
@@ -93,7 +93,7 @@
 	}
 	return &Budget{
 		maxBytes: maxBytes, largeBytes: int64(largeFraction * float64(maxBytes)), shareBytes: int64(shareFraction * float64(maxBytes)), maxConns: maxConns, spareConns: min(maxConns/spareDivisor, maxSpare),
-		claims: map[*Claim]struct{}{}, changed: make(chan struct{}),
+		holdings: map[*Holding]struct{}{}, changed: make(chan struct{}),
 	}
 }
 
@@ -101,33 +101,33 @@
 func (b *Budget) Usage() (bytes int64, conns int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.used, len(b.claims)
+	return b.used, len(b.holdings)
 }
 
-// Open asks for a connection, and returns its claim if it is granted. Evict is to close the connection
+// Open asks for a connection, and returns its holding if it is granted. Evict is to close the connection
 // when another one needs what it holds.
-func (b *Budget) Open(now time.Time, evict func()) (*Claim, Decision) {
+func (b *Budget) Open(now time.Time, evict func()) (*Holding, Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := b.decide(now, nil, ConnBytes, 1)
 	if !d.Granted {
 		return nil, d
 	}
-	c := &Claim{budget: b, evict: evict, held: ConnBytes, since: now, countedAt: now}
+	c := &Holding{budget: b, evict: evict, held: ConnBytes, since: now, countedAt: now}
 	c.progressAt.Store(now.UnixNano())
-	b.claims[c] = struct{}{}
+	b.holdings[c] = struct{}{}
 	b.used += ConnBytes
 	return c, d
 }
 
-// decide says whether bytes and connections are granted to a claim, or to a newcomer if it is nil. The
+// decide says whether bytes and connections are granted to a holding, or to a new connection if it is nil. The
 // caller holds mu.
-func (b *Budget) decide(now time.Time, c *Claim, bytes int64, conns int) Decision {
+func (b *Budget) decide(now time.Time, c *Holding, bytes int64, conns int) Decision {
 	small, limit := c == nil || c.held+bytes <= smallBytes, b.maxBytes
 	if !small {
 		limit = b.largeBytes
 	}
-	missingBytes, missingConns := b.used+bytes-limit, len(b.claims)+conns-b.maxConns
+	missingBytes, missingConns := b.used+bytes-limit, len(b.holdings)+conns-b.maxConns
 	if conns == 0 {
 		missingConns = 0
 	}
@@ -151,15 +151,15 @@
 		}
 		return Decision{}
 	}
-	// A newcomer need not wait for a connection that waits for its client to close it, as long as they are few.
+	// A new connection need not wait for a connection that waits for its client to close it, as long as they are few.
 	if c == nil && b.leavingConns <= b.spareConns {
 		d.Granted, d.Wait = true, nil
 	}
 	return d
 }
 
-// setSelected changes whether the connection of a claim is on its way out. The caller holds mu.
-func (b *Budget) setSelected(v *Claim, selected bool) {
+// setSelected changes whether the connection of a holding is being closed. The caller holds mu.
+func (b *Budget) setSelected(v *Holding, selected bool) {
 	v.selected = selected
 	if selected {
 		b.leavingBytes += v.held
@@ -170,11 +170,11 @@
 	b.leavingConns--
 }
 
-// choose returns the claim whose connection is closed first for another one, or nil. The caller holds mu.
-func (b *Budget) choose(now time.Time, asker *Claim, small bool) (chosen *Claim) {
+// choose returns the holding whose connection is closed first for another one, or nil. The caller holds mu.
+func (b *Budget) choose(now time.Time, requester *Holding, small bool) (chosen *Holding) {
 	bestRank, bestScore := 0, 0.0
-	for c := range b.claims {
-		if c == asker || c.selected {
+	for c := range b.holdings {
+		if c == requester || c.selected {
 			continue
 		}
 		rank, score := c.rank(now, small)
@@ -182,11 +182,11 @@
 			chosen, bestRank, bestScore = c, rank, score
 		}
 	}
-	if asker == nil || bestRank < rankUnfinished {
+	if requester == nil || bestRank < rankUnfinished {
 		return chosen
 	}
-	// The asker would be the first to be closed for another one, so that it is the one to give way.
-	if rank, score := asker.rank(now, small); rank > bestRank || rank == bestRank && score > bestScore {
+	// The requester would be the first to be closed for another one, so that it is the one to give way.
+	if rank, score := requester.rank(now, small); rank > bestRank || rank == bestRank && score > bestScore {
 		return nil
 	}
 	return chosen
@@ -205,7 +205,7 @@
 )
 
 // rank returns how readily the connection is closed, and a score among those of the same rank.
-func (c *Claim) rank(now time.Time, small bool) (rank int, score float64) {
+func (c *Holding) rank(now time.Time, small bool) (rank int, score float64) {
 	age := now.Sub(c.since)
 	switch c.phase {
 	case phaseComplete:
@@ -234,11 +234,11 @@
 	b.changed = make(chan struct{})
 }
 
-// Evict closes the connection of a selected claim.
-func (c *Claim) Evict() { c.evict() }
+// Evict closes the connection of a selected holding.
+func (c *Holding) Evict() { c.evict() }
 
 // Take asks for more bytes.
-func (c *Claim) Take(now time.Time, bytes int64) Decision {
+func (c *Holding) Take(now time.Time, bytes int64) Decision {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -253,16 +253,16 @@
 }
 
 // Give returns bytes that were taken.
-func (c *Claim) Give(now time.Time, bytes int64) {
+func (c *Holding) Give(now time.Time, bytes int64) {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.change(now, -bytes)
 }
 
 // change changes what is held. The caller holds the budget's mu.
-func (c *Claim) change(now time.Time, bytes int64) {
+func (c *Holding) change(now time.Time, bytes int64) {
 	b := c.budget
-	if _, open := b.claims[c]; !open {
+	if _, open := b.holdings[c]; !open {
 		return
 	}
 	c.weight += float64(c.held) * now.Sub(c.countedAt).Seconds()
@@ -279,7 +279,7 @@
 
 // Begin records that the first bytes of a request have arrived. A connection that was selected before is
 // not closed, as its request may be complete.
-func (c *Claim) Begin(now time.Time) {
+func (c *Holding) Begin(now time.Time) {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	if c.selected {
@@ -289,17 +289,17 @@
 	c.enter(now, phaseReceiving)
 }
 
-func (c *Claim) enter(now time.Time, p phase) {
+func (c *Holding) enter(now time.Time, p phase) {
 	c.phase, c.since, c.countedAt, c.weight = p, now, now, 0
 	c.progressAt.Store(now.UnixNano())
 }
 
 // Progress records that bytes of the request were received.
-func (c *Claim) Progress(now time.Time) { c.progressAt.Store(now.UnixNano()) }
+func (c *Holding) Progress(now time.Time) { c.progressAt.Store(now.UnixNano()) }
 
 // Complete records that the request was read completely, and reports false if its connection was selected
 // before, so that the request has to be refused.
-func (c *Claim) Complete() bool {
+func (c *Holding) Complete() bool {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	if c.selected {
@@ -310,7 +310,7 @@
 }
 
 // Idle records that the request was answered, and gives back what it held.
-func (c *Claim) Idle(now time.Time) {
+func (c *Holding) Idle(now time.Time) {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.change(now, ConnBytes-c.held)
@@ -318,24 +318,24 @@
 }
 
 // Selected reports whether the connection is to be closed.
-func (c *Claim) Selected() bool {
+func (c *Holding) Selected() bool {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	return c.selected
 }
 
 // Close records that the connection was closed.
-func (c *Claim) Close() {
+func (c *Holding) Close() {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, open := b.claims[c]; !open {
+	if _, open := b.holdings[c]; !open {
 		return
 	}
 	if c.selected {
 		b.setSelected(c, false)
 	}
-	delete(b.claims, c)
+	delete(b.holdings, c)
 	b.used -= c.held
 	b.notify()
 }
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -16,10 +16,10 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var b *Budget
 		now := time.Unix(1000, 0)
-		claims := map[string]*Claim{}
+		holdings := map[string]*Holding{}
 		describe := func(d Decision) string {
 			var names []string
-			for name, c := range claims {
+			for name, c := range holdings {
 				if slices.Contains(d.Selected, c) {
 					names = append(names, name)
 				}
@@ -39,14 +39,14 @@
 					d.ScanArgs(t, key, into)
 				}
 			}
-			c := claims[name]
+			c := holdings[name]
 			switch d.Cmd {
 			case "budget":
-				b, claims = NewBudget(int64(kib)<<10, conns), map[string]*Claim{}
+				b, holdings = NewBudget(int64(kib)<<10, conns), map[string]*Holding{}
 			case "open":
 				opened, decision := b.Open(now, func() {})
 				if opened != nil {
-					claims[name] = opened
+					holdings[name] = opened
 				}
 				return describe(decision)
 			case "begin":
