--- a/review/driver-3/fleet.go
+++ b/review/driver-3/fleet.go
@@ -22,6 +22,9 @@
 // config is the first configuration: one queue for each priority that the cases use.
 const config = `{"version":%d,"routes":[{"name":"q-urgent","host":"hub.example","prefix":"/urgent/","service":"hub","priority":0,"maxAttempts":%d,"stretch":2,"targetDurationMs":300},{"name":"q-patient","host":"hub.example","prefix":"/patient/","service":"hub","priority":2,"maxAttempts":%d,"stretch":2,"targetDurationMs":1000}],"services":[{"name":"hub","rejectsOverload":true}],"limits":{"maxBodyBytes":262144}}`
 
+// entryMemoryMB is the memory of a machine with an entry, as on the small sites.
+const entryMemoryMB = 284
+
 // process is one process of the project.
 type process struct {
 	name, role, settings string
@@ -111,18 +114,7 @@
 	f.acked[e.task]++
 }
 
-// doneCount returns how many runs of a job's tasks have ended done, and startCount how many were started.
-func (f *fleet) doneCount(job string) (n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for task, count := range f.done {
-		if strings.HasPrefix(task, job+".") {
-			n += count
-		}
-	}
-	return n
-}
-
+// startCount returns how many runs of a job's tasks were started.
 func (f *fleet) startCount(job string) (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -166,7 +158,7 @@
 	ports := []int{port(freeAddress()), port(freeAddress())}
 	slices.Sort(ports)
 	var b strings.Builder
-	class, cpu, mem := "edge", 0.4, 284
+	class, cpu, mem := "edge", 0.4, entryMemoryMB
 	if app != "" {
 		class, cpu, mem = "side", 0.24, 152
 	}
@@ -199,7 +191,7 @@
 func (f *fleet) start(name string) error {
 	p := f.procs[name]
 	p.cmd = exec.Command(f.binary, p.role)
-	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", "JASMINEBAY_BOOT=" + p.settings}
+	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", wire["boot"] + "=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		return err
--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -10,7 +10,9 @@
 
 // A case returns an error if it could not run.
 var cases = map[string]func(f *fleet, trouble bool) error{
-	"large-jobs": largeJobs,
+	"large-jobs":     largeJobs,
+	"cancelled-jobs": cancelledJobs,
+	"hopeless-jobs":  hopelessJobs,
 }
 
 // Exit codes of a case.
--- a/review/driver-3/runner.go
+++ b/review/driver-3/runner.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -32,8 +31,6 @@
 	lastEnd  int
 	changed  chan struct{}
 	draining bool
-	// failing makes each start end as failed soon after it.
-	failing bool
 	// down makes the runner refuse all connections' calls without an answer.
 	down bool
 	stop chan struct{}
@@ -42,6 +39,9 @@
 	after  func(path string, c *runnerCall) (drop bool)
 }
 
+// startup is how long a task that lasts takes until it is at work.
+const startup = 300 * time.Millisecond
+
 // activeRun is a run that holds room on a runner.
 type activeRun struct {
 	task       string
@@ -71,9 +71,9 @@
 	Run            int    `json:"run"`
 	Spec           string `json:"spec"`
 	DeadlineMs     int64  `json:"deadlineMs"`
-	FencingToken   uint64 `json:"fencingToken"`
+	FencingToken   uint64 `json:"-"`
 	LastCheckpoint string `json:"lastCheckpoint"`
-	LastSeen       int    `json:"lastSeen"`
+	LastSeen       int    `json:"-"`
 	WaitMs         int64  `json:"waitMs"`
 	Percent        int    `json:"percent"`
 }
@@ -89,19 +89,6 @@
 
 func (r *runner) clock() time.Duration { return time.Since(r.began) }
 
-// restart begins another incarnation under the same id.
-func (r *runner) restart() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, a := range r.runs {
-		r.fleet.ended(r, a, "lost")
-	}
-	r.born, r.began = max(r.born+1, time.Now().UnixMilli()), time.Now()
-	r.token, r.leaseEnd, r.lastEnd, r.ends = 0, 0, 0, nil
-	r.runs, r.highest = map[string]*activeRun{}, map[string]int{}
-	r.notify()
-}
-
 func (r *runner) notify() {
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -157,7 +144,7 @@
 
 func (r *runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	var c runnerCall
-	if err := json.NewDecoder(request.Body).Decode(&c); err != nil {
+	if err := readRunnerCall(request.Body, &c); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -187,18 +174,18 @@
 	}
 	r.token = c.FencingToken
 	switch request.URL.Path {
-	case "/api/run-start":
+	case wire["start"]:
 		return r.start(c)
-	case "/api/run-stop":
+	case wire["stop"]:
 		r.highest[c.Task] = max(r.highest[c.Task], c.Run)
 		if a := r.runs[c.Task]; a != nil && a.run == c.Run && a.stoppingAt == 0 {
 			a.stoppingAt = r.clock() + r.stopGrace
 			r.fleet.note("runner %s stops %s run %d", r.id, c.Task, c.Run)
 		}
 		return r.answer()
-	case "/api/pace":
+	case wire["pace"]:
 		return r.answer()
-	case "/api/hold":
+	case wire["hold"]:
 		return r.hold(request, c)
 	}
 	return http.StatusNotFound, map[string]any{}
@@ -243,6 +230,8 @@
 			a.memMb = number
 		case "lasting":
 			a.lasting = true
+		case "fails-ms":
+			a.failsAfter = time.Duration(number) * time.Millisecond
 		case "gang":
 			a.gang = c.Task[:strings.LastIndexByte(c.Task, '.')]
 		}
@@ -255,9 +244,6 @@
 		r.extend(c.DeadlineMs)
 		return r.refusal("room")
 	}
-	if r.failing {
-		a.failsAfter = 5 * time.Millisecond
-	}
 	r.extend(c.DeadlineMs)
 	r.runs[c.Task] = a
 	r.fleet.started(r, a)
@@ -285,7 +271,10 @@
 	now := r.clock()
 	for _, a := range r.sorted() {
 		percent := 100
-		if !a.lasting {
+		switch {
+		case a.lasting && now < a.startedAt+startup:
+			percent = 0
+		case !a.lasting:
 			percent = min(99, int(100*(now-a.startedAt)/max(1, a.work)))
 		}
 		running = append(running, []any{a.task, a.run, a.checkpoint, percent, 0})
@@ -308,13 +297,13 @@
 			state = "draining"
 		}
 		body, _ := json.Marshal(map[string]any{
-			"service": r.service, "address": "127.0.0.1:1", "zone": r.zone, "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+			"service": r.service, "address": "127.0.0.1:1", "zone": r.zone, "version": "v1", "slots": 8, "state": state, wire["cold"]: 0,
 			"capacity": map[string]any{"cpu": r.cpu, "memMb": r.memMb, "gpu": 0}, "labels": r.labels, "clockMs": r.clock().Milliseconds(), "born": r.born, "seq": seq,
 		})
 		down := r.down
 		r.mu.Unlock()
 		if !down {
-			if response, err := client.Post(fmt.Sprintf("http://%s/api/Instances.Heartbeat/%s", agent, r.id), "application/json", bytes.NewReader(body)); err == nil {
+			if response, err := client.Post("http://"+agent+wire["heartbeat"]+r.id, "application/json", bytes.NewReader(body)); err == nil {
 				_ = response.Body.Close()
 			}
 		}
--- a/review/driver-3/store.go
+++ b/review/driver-3/store.go
@@ -36,22 +36,12 @@
 	changed  chan struct{}
 	// lastWriter is the process that last wrote under a condition.
 	lastWriter string
-	// before, if set, is called for each call of a process before it is carried out. It may block, and
-	// leaves the call undone if it returns false.
-	before func(process string, r *http.Request) bool
 }
 
 func newStore() *store {
 	return &store{items: map[string]item{}, revision: 1, changed: make(chan struct{})}
 }
 
-// setBefore sets the hook.
-func (s *store) setBefore(f func(process string, r *http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.before = f
-}
-
 // put writes a key as the operator does.
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
@@ -61,13 +51,6 @@
 	s.notify()
 }
 
-// get returns the value of a key, or nil.
-func (s *store) get(key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.items[key].Value
-}
-
 // writer returns the process that last wrote under a condition.
 func (s *store) writer() string {
 	s.mu.Lock()
@@ -96,20 +79,14 @@
 // serving returns the handler for the calls of one process.
 func (s *store) serving(process string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		before := s.before
-		s.mu.Unlock()
-		if before != nil && !before(process, r) {
-			panic(http.ErrAbortHandler)
-		}
 		switch r.Method + " " + r.URL.Path {
-		case "GET /api/kv-key":
+		case "GET " + wire["key"]:
 			s.serveKey(w, r)
-		case "GET /api/kv-range":
+		case "GET " + wire["range"]:
 			s.serveRange(w, r)
-		case "GET /api/kv-watch":
+		case "GET " + wire["watch"]:
 			s.serveWatch(w, r)
-		case "POST /api/kv-txn":
+		case "POST " + wire["txn"]:
 			s.serveTxn(w, r, process)
 		default:
 			w.WriteHeader(http.StatusNotFound)
