--- a/review/driver-3/fleet.go
+++ b/review/driver-3/fleet.go
@@ -136,11 +136,20 @@
 	return n
 }
 
-// freeAddress returns an address with a free port below those that the system gives to outgoing connections.
+// given holds the ports that freeAddress has returned. They are free until a process listens there.
+var given = map[int]bool{}
+
+// freeAddress returns an address with a free port, each only once, below those that the system gives to outgoing
+// connections.
 func freeAddress() string {
 	for {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
+		n := 12000 + rand.IntN(18000)
+		if given[n] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", n))
 		if err == nil {
+			given[n] = true
 			defer func() { _ = l.Close() }()
 			return l.Addr().String()
 		}
@@ -395,8 +404,18 @@
 			return err
 		}
 	}
+	return f.serves()
+}
+
+// serves returns an error unless the deployment takes a job, with all its processes.
+func (f *fleet) serves() error {
 	if !f.ready(15 * time.Second) {
 		return errors.New("the deployment serves nothing")
 	}
+	for _, name := range f.order {
+		if f.hasEnded(name) {
+			return fmt.Errorf("process %s could not start", name)
+		}
+	}
 	return nil
 }
--- a/review/driver-3/gang.go
+++ b/review/driver-3/gang.go
@@ -82,8 +82,8 @@
 			return err
 		}
 	}
-	if !f.ready(15 * time.Second) {
-		return fmt.Errorf("the deployment serves nothing")
+	if err := f.serves(); err != nil {
+		return err
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
