engine: judge whether a failed run is its step's fault or its runner's

Of 40 ordinary jobs two or three were done, the others stayed queued on idle runners for as long as the two jobs were open.

Cause: failures of a job that fails everywhere counted against each runner, and any failure renewed the ejection of a probed one. The probes were tasks of the same jobs, since long-running steps are placed first and their tasks were started again after 20 ms.

Change: a step that has failed on two nodes, or on one that completed other work after that, and has done well nowhere since, is at fault. Its failures count against no runner, and ejections that rest on them are withdrawn. Probes go to steps that have not failed. A task waits twice as long after each further failure, 4 s at most, and from the third in a row on yields to other work for 6 s. The log names the jobs that led to an ejection; two gauges show ejected runners and failing steps.

--- a/internal/flow/engine/ends.go
+++ b/internal/flow/engine/ends.go
@@ -189,6 +189,7 @@
 	}
 	r.gauge, r.gaugeAt = reported.GetGauge(), now
 	r.worker.health.observeProgress(r, now)
+	e.observeRun(r, now)
 }
 
 // markRunning records that a run has started, and stops it if it is no longer wanted.
@@ -234,7 +235,7 @@
 	case flowpb.StartOutcome_START_OUTCOME_NO_ROOM:
 		w.fullUntil = now + refusalBackoff
 	case flowpb.StartOutcome_START_OUTCOME_UNHEALTHY:
-		w.health.eject(now)
+		w.health.eject(now, nil)
 	case flowpb.StartOutcome_START_OUTCOME_TICKET:
 		delete(r.task.step.tickets, w.info.GetId())
 		if !r.task.step.job().queue.Advised {
@@ -292,7 +293,7 @@
 	e.options.Log.Debug("run ended", "node", w.node, "task", t.name(), "run", r.number, "kind", kind.String())
 	switch {
 	case kind == driver.EndDone && !t.step.def.GetLasting():
-		w.health.recordSuccess()
+		e.recordSuccess(r, now.Monotonic)
 		if !t.step.def.GetFills() || r.pace == fullPace {
 			w.speed.observe(float64(now.Monotonic-r.startedAt) / float64(e.expectedDuration(r)))
 			e.estimates.observe(j.queue.Name, t.step.def, now.Monotonic-r.startedAt)
@@ -370,11 +371,7 @@
 func (e *Engine) handleFailure(r *run, now Timestamp) {
 	t, j := r.task, r.task.step.job()
 	t.failures++
-	t.notBefore = now.Monotonic + failureRetryDelay
-	t.avoid(r.worker)
-	if r.worker.health.recordFailure(j.id(), now.Monotonic) {
-		e.options.Log.Warn("runner ejected", "node", r.worker.node, "reason", "runs failed", "for-ms", r.worker.health.ejectionTime.Milliseconds())
-	}
+	e.recordFailure(r, now.Monotonic)
 	failures := t.failures
 	if t.step.def.GetGang() {
 		failures = 0
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -22,8 +22,13 @@
 	// synchronise before it is sent again.
 	stopRetryInterval = 500 * time.Millisecond
 	// failureRetryDelay is the least delay between the failure of a run and the next start of
-	// its task, so that a task that fails at once is not restarted in a tight loop.
-	failureRetryDelay = 20 * time.Millisecond
+	// its task, so that a task that fails at once is not restarted in a tight loop. It doubles with each
+	// further failure in a row up to maxFailureRetryDelay.
+	failureRetryDelay    = 20 * time.Millisecond
+	maxFailureRetryDelay = 4 * time.Second
+	// maxYieldTime is how long after its last failure the next start of a task that keeps failing comes
+	// after all other work. The platform asks that long-running tasks are started again from then on.
+	maxYieldTime = 6 * time.Second
 	// expireInterval is how often ended jobs are checked against Options.Retention.
 	expireInterval = time.Second
 )
@@ -375,6 +380,9 @@
 	Jobs, Open, Workers, Synced, Runs, Places int
 	// EvacuatedDataCentres counts the data centres that are evacuated, EvacuatedRuns the runs that are left there.
 	EvacuatedDataCentres, EvacuatedRuns int
+	// Ejected counts the workers whose runner is ejected or probed, FailingSteps the steps of open jobs that fail wherever
+	// they run.
+	Ejected, FailingSteps int
 }
 
 // Stats returns the current counts of jobs, workers and live runs.
@@ -389,6 +397,18 @@
 		if w.synced {
 			s.Synced++
 		}
+		if w.health.probing {
+			s.Ejected++
+		}
+	}
+	for _, j := range e.openJobs {
+		for _, o := range j.occurrences {
+			for _, step := range o.steps {
+				if step.failures.everywhere() {
+					s.FailingSteps++
+				}
+			}
+		}
 	}
 	return s
 }
--- a/internal/flow/engine/health.go
+++ b/internal/flow/engine/health.go
@@ -1,10 +1,14 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ejection covers runners that fail, stall or slow down all their tasks while their reports look
 // healthy. After consecutive failures of tasks of different jobs, a runner gets no new tasks for a
-// while, then one at a time as a probe.
+// while, then one at a time as a probe. Failures of steps that fail wherever they run do not count
+// (see attribution.go).
 const (
 	// ejectFailures is the number of consecutive failures, of at least ejectJobs jobs, after which
 	// a runner is ejected. A job that fails everywhere must not eject the runners that it ran on.
@@ -22,25 +26,26 @@
 
 // health tracks the failures of runs on a runner and its ejections.
 type health struct {
-	failures     int
-	failedJobs   map[string]bool
+	// failed holds the runs that have failed since one succeeded or the runner was ejected.
+	failed       []evidence
 	ejectedUntil time.Duration
 	ejectionTime time.Duration
 	// probing is set until a run succeeds after an ejection. Meanwhile the runner gets one task at a
 	// time as a probe, and a failure ejects it again.
 	probing bool
+	// grounds are the runs that led to the last ejection. There are none if the ejection does not rest on
+	// runs. renewed is set if that ejection followed a failed probe.
+	grounds []evidence
+	renewed bool
 }
 
-// recordFailure counts a failed run of a job. It ejects the runner if there were too many, and then
-// returns true.
-func (h *health) recordFailure(job string, now time.Duration) (ejected bool) {
-	h.failures++
-	if h.failedJobs == nil {
-		h.failedJobs = map[string]bool{}
-	}
-	h.failedJobs[job] = true
-	if h.probing || h.failures >= ejectFailures && len(h.failedJobs) >= ejectJobs {
-		return h.eject(now)
+// recordFailure records a failed run of a step. It ejects the runner if too many count against it, and
+// then returns true.
+func (h *health) recordFailure(s *step, now time.Duration) (ejected bool) {
+	v := evidence{step: s}
+	h.failed = appendEvidence(h.failed, v)
+	if h.probing && v.weighs() || incriminates(h.failed) {
+		return h.eject(now, h.failed)
 	}
 	return false
 }
@@ -48,14 +53,32 @@
 // eject bars the runner from new tasks for a time that doubles with each ejection. It has no effect
 // while the runner is ejected, since the runs that fail or stall then were placed before, and then
 // returns false.
-func (h *health) eject(now time.Duration) bool {
+func (h *health) eject(now time.Duration, grounds []evidence) bool {
 	if now < h.ejectedUntil {
 		return false
 	}
 	h.ejectionTime = min(max(2*h.ejectionTime, minEjectionTime), maxEjectionTime)
 	h.ejectedUntil = now + h.ejectionTime
-	h.probing = true
-	h.failures, h.failedJobs = 0, nil
+	h.probing, h.renewed = true, h.probing
+	h.failed, h.grounds = nil, grounds
+	return true
+}
+
+// reconsider withdraws an ejection whose grounds do not count any more, and then returns true.
+func (h *health) reconsider(now time.Duration) (withdrawn bool) {
+	switch {
+	case !h.probing || len(h.grounds) == 0:
+		return false
+	case h.renewed:
+		if now >= h.ejectedUntil || slices.ContainsFunc(h.grounds, evidence.weighs) {
+			return false
+		}
+		h.ejectedUntil, h.grounds = now, nil
+	case incriminates(h.grounds):
+		return false
+	default:
+		*h = health{}
+	}
 	return true
 }
 
@@ -64,7 +87,8 @@
 
 // admits reports whether a runner with the given live runs may be given another. While the runner is
 // probed, it may not if one of them has just begun or is being stopped. Those that go on do not count,
-// since long-running tasks never end by themselves.
+// since long-running tasks never end by themselves, nor do those that fail wherever they run, which show
+// nothing about the runner.
 func (h *health) admits(now time.Duration, runs []*run) bool {
 	if now < h.ejectedUntil {
 		return false
@@ -73,7 +97,7 @@
 		return true
 	}
 	for _, r := range runs {
-		if r.phase != phaseRunning || now-r.startedAt < probeTime {
+		if (r.phase != phaseRunning || now-r.startedAt < probeTime) && !r.task.step.failures.everywhere() {
 			return false
 		}
 	}
--- a/internal/flow/engine/livestate_test.go
+++ b/internal/flow/engine/livestate_test.go
@@ -13,6 +13,7 @@
 var liveStateTypes = []reflect.Type{
 	reflect.TypeFor[Engine](), reflect.TypeFor[job](), reflect.TypeFor[occurrence](), reflect.TypeFor[step](), reflect.TypeFor[task](),
 	reflect.TypeFor[run](), reflect.TypeFor[worker](), reflect.TypeFor[ticket](), reflect.TypeFor[heldEnd](), reflect.TypeFor[health](),
+	reflect.TypeFor[evidence](), reflect.TypeFor[failureRecord](),
 	reflect.TypeFor[places](), reflect.TypeFor[place](),
 	reflect.TypeFor[dataCentres](),
 }
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -157,6 +157,7 @@
 	movedForAt time.Duration
 	// baseline is the headroom of the step's tasks without best-effort tasks beside them.
 	baseline baseHeadroom
+	failures failureRecord
 }
 
 // ticket allows starts on one incarnation of a runner until it expires.
@@ -202,8 +203,11 @@
 	recorded *flowpb.TaskProgress
 	// notBefore is the earliest time of the next start, so that a task that fails at once is
 	// not restarted in a tight loop.
-	notBefore    time.Duration
-	waitingSince time.Duration
+	notBefore time.Duration
+	// failuresInRow counts the failures since a run of the task did well, the last of which was at failedAt.
+	failuresInRow int
+	failedAt      time.Duration
+	waitingSince  time.Duration
 	// avoidedNodes are the nodes where a run of the task failed, stalled or was slow.
 	avoidedNodes map[string]bool
 }
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -49,12 +49,18 @@
 	}
 	candidates := e.candidates(now.Monotonic)
 	held := false
+	var postponed []PendingStep
 	for _, p := range steps {
 		if !p.LongRunning && !held {
 			held = true
 			e.holdForEvacuated(candidates, now.Monotonic)
 		}
-		e.placeStep(p, candidates, now.Monotonic)
+		if e.placeStep(p, candidates, now.Monotonic) {
+			postponed = append(postponed, p)
+		}
+	}
+	for _, p := range postponed {
+		e.placePostponed(p, candidates, now.Monotonic)
 	}
 }
 
@@ -86,36 +92,73 @@
 )
 
 // placeStep places the pending tasks of a step until no candidate fits any more. Only steps of the
-// highest priority and long-running steps preempt others.
-func (e *Engine) placeStep(p PendingStep, candidates []*candidate, now time.Duration) {
+// highest priority and long-running steps preempt others. What is left to placePostponed are tasks that
+// keep failing, and those of a step that has failed for which a probed runner may have room: a probe that
+// fails by its own fault would keep the runner from all others. It reports whether there are any.
+func (e *Engine) placeStep(p PendingStep, candidates []*candidate, now time.Duration) (postponed bool) {
 	s := p.step
+	offered := candidates
+	if !s.failures.empty() {
+		offered = slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.worker.health.probing })
+	}
+	fits, yielding := e.placeTasks(s, offered, false, now)
+	if fits || len(offered) < len(candidates) {
+		return yielding || !fits
+	}
+	e.makeRoom(p, now)
+	if p.LongRunning && !s.def.GetGang() {
+		e.holdRoom(s, candidates, now)
+	}
+	return false
+}
+
+// placePostponed places the tasks of a step that placeStep has left over, once all others had their turn.
+func (e *Engine) placePostponed(p PendingStep, candidates []*candidate, now time.Duration) {
+	if fits, _ := e.placeTasks(p.step, candidates, false, now); !fits {
+		e.makeRoom(p, now)
+	}
+	e.placeTasks(p.step, candidates, true, now)
+}
+
+// makeRoom preempts others on behalf of a step of the highest priority or a long-running one.
+func (e *Engine) makeRoom(p PendingStep, now time.Duration) {
+	if (p.Priority == 0 || p.LongRunning) && !p.step.def.GetGang() {
+		e.preempt(p.step, now)
+	}
+}
+
+// placeTasks places the pending tasks of a step, either those that yield to other work or those that do
+// not, until one fits on no candidate. It reports whether all fitted, and whether there are tasks of the
+// other kind.
+func (e *Engine) placeTasks(s *step, candidates []*candidate, yielding bool, now time.Duration) (fits, others bool) {
 	if s.def.GetGang() {
-		e.placeGang(s, candidates, now)
-		return
+		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.yields(now) }) != yielding {
+			return true, true
+		}
+		return e.placeGang(s, candidates, now), false
 	}
 	scored := e.scoreCandidates(s, candidates, "", now)
-	noCandidate := false
+	fits = true
 	for _, t := range s.tasks {
 		if !t.pending(now) {
 			continue
 		}
+		if t.yields(now) != yielding {
+			others = true
+			continue
+		}
 		if s.job().liveRuns >= maxLiveRuns {
-			return
+			return true, false
 		}
 		best := e.bestCandidate(t, scored)
 		if best == nil {
-			noCandidate = true
+			fits = false
 			break
 		}
 		e.assign(t, best.candidate, t.lastRun+1, now)
 		e.rescore(best, s, now)
 	}
-	if noCandidate && (p.Priority == 0 || p.LongRunning) {
-		e.preempt(s, now)
-	}
-	if noCandidate && p.LongRunning {
-		e.holdRoom(s, candidates, now)
-	}
+	return fits, others
 }
 
 // scoredCandidate is a candidate with its score for the tasks of one step.
@@ -189,12 +232,12 @@
 
 // placeGang places all tasks of a gang or none. If the step asks for one rack, each rack is tried
 // first, then all racks together. All runs of a gang have the same number and start from the same
-// checkpoint.
-func (e *Engine) placeGang(s *step, candidates []*candidate, now time.Duration) {
+// checkpoint. It reports whether it has placed them, or could not since some are not pending.
+func (e *Engine) placeGang(s *step, candidates []*candidate, now time.Duration) (fits bool) {
 	lastRun := uint32(0)
 	for _, t := range s.tasks {
 		if !t.pending(now) {
-			return
+			return true
 		}
 		lastRun = max(lastRun, t.lastRun)
 	}
@@ -212,8 +255,9 @@
 			t.checkpoint = checkpoint
 			e.addRun(t, reserved[i], lastRun+1, now)
 		}
-		return
+		return true
 	}
+	return false
 }
 
 // reserveGang reserves resources for each task of a gang and returns the candidate of each. If some
--- a/internal/flow/engine/straggle.go
+++ b/internal/flow/engine/straggle.go
@@ -82,11 +82,11 @@
 		}
 		if stalled >= ejectStalledRuns {
 			e.options.Log.Warn("runner ejected", "node", w.node, "reason", "runs stalled", "runs", stalled)
-			w.health.eject(now)
+			w.health.eject(now, nil)
 		}
 		if w.speed.slow() {
 			e.options.Log.Warn("runner ejected", "node", w.node, "reason", "runs are slow", "times", math.Exp(w.speed.meanLog), "runs", w.speed.runs)
-			w.health.eject(now)
+			w.health.eject(now, nil)
 			w.speed = slowdown{}
 			e.moveOff(w, now)
 		}
--- a/internal/flow/owner/owner.go
+++ b/internal/flow/owner/owner.go
@@ -330,6 +330,7 @@
 	o.options.Metrics.AddReturns("late", returns.Late)
 	o.options.Metrics.AddReturns("expired", returns.Expired)
 	o.options.Metrics.SetEvacuated(stats.EvacuatedDataCentres, stats.EvacuatedRuns)
+	o.options.Metrics.SetFailing(stats.Ejected, stats.FailingSteps)
 	o.advance()
 }
 
--- a/internal/telemetry/flow.go
+++ b/internal/telemetry/flow.go
@@ -26,6 +26,8 @@
 	places        prometheus.Gauge
 	evacuated     prometheus.Gauge
 	evacuatedRuns prometheus.Gauge
+	ejected       prometheus.Gauge
+	failingSteps  prometheus.Gauge
 }
 
 // NewFlow returns Flow metrics that are registered in the registry of m.
@@ -48,8 +50,10 @@
 		places:        gauge("flow_places", "Refused callers whose retry the owner expects."),
 		evacuated:     gauge("flow_evacuated_data_centres", "Data centres that are evacuated."),
 		evacuatedRuns: gauge("flow_evacuated_runs", "Runs that are left in evacuated data centres."),
+		ejected:       gauge("flow_ejected_runners", "Runners that get no tasks or single ones as probes, since their runs failed."),
+		failingSteps:  gauge("flow_failing_steps", "Steps of open jobs that fail wherever they run."),
 	}
-	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers, f.returns, f.places, f.evacuated, f.evacuatedRuns)
+	m.registry.MustRegister(f.commits, f.committedJobs, f.openJobs, f.runs, f.runners, f.calls, f.starts, f.ends, f.runnerCalls, f.orders, f.orderWaits, f.owner, f.takeovers, f.returns, f.places, f.evacuated, f.evacuatedRuns, f.ejected, f.failingSteps)
 	return f
 }
 
@@ -84,6 +88,13 @@
 	f.evacuatedRuns.Set(float64(runs))
 }
 
+// SetFailing sets the numbers of runners that are ejected or probed and of steps that fail wherever they
+// run.
+func (f *Flow) SetFailing(runners, steps int) {
+	f.ejected.Set(float64(runners))
+	f.failingSteps.Set(float64(steps))
+}
+
 // RecordCall records the duration and status of a client's call.
 func (f *Flow) RecordCall(call, status string, took time.Duration) {
 	f.calls.WithLabelValues(call, status).Observe(took.Seconds())
