engine: start a gang's next run away from runners where it has failed

Cause: racks were tried in order and the first that had room was taken, and only the members that had failed avoided the runner, so that others took their place there.

Change: all members of a gang avoid a runner on which one has failed, stalled or was slow. A gang takes the first rack, or all racks together, that needs the fewest such runners.

--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -210,18 +210,31 @@
 	failuresInRow int
 	failedAt      time.Duration
 	waitingSince  time.Duration
-	// avoidedNodes are the nodes where a run of the task failed, stalled or was slow.
+	// avoidedNodes are the nodes where a run of the task failed, stalled or was slow. Those of a gang are at
+	// its first task.
 	avoidedNodes map[string]bool
 }
 
-// avoid makes later runs of the task prefer other nodes than the worker's.
+// avoid makes later runs of the task prefer other nodes than the worker's, or those of its gang, which
+// fails as a whole.
 func (t *task) avoid(w *worker) {
+	if t.step.def.GetGang() {
+		t = t.step.tasks[0]
+	}
 	if t.avoidedNodes == nil {
 		t.avoidedNodes = map[string]bool{}
 	}
 	t.avoidedNodes[w.node] = true
 }
 
+// avoids reports whether the task avoids the node of a worker.
+func (t *task) avoids(w *worker) bool {
+	if t.step.def.GetGang() {
+		t = t.step.tasks[0]
+	}
+	return t.avoidedNodes[w.node]
+}
+
 func (t *task) name() string { return t.step.name() + "." + strconv.Itoa(t.index) }
 
 // pending reports whether the task has no live run and may be started.
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -217,7 +217,7 @@
 			continue
 		}
 		score := c.score
-		if t.avoidedNodes[c.candidate.worker.node] {
+		if t.avoids(c.candidate.worker) {
 			score -= weightAvoided
 		}
 		if e.options.Policy.RandomPlacement {
@@ -231,8 +231,9 @@
 }
 
 // placeGang places all tasks of a gang or none. If the step asks for one rack, each rack is tried
-// first, then all racks together. All runs of a gang have the same number and start from the same
-// checkpoint. It reports whether it has placed them, or could not since some are not pending.
+// first, then all racks together. The first that needs the fewest nodes which the gang avoids is taken. All
+// runs of a gang have the same number and start from the same checkpoint. It reports whether it has placed
+// them, or could not since some are not pending.
 func (e *Engine) placeGang(s *step, candidates []*candidate, now time.Duration) (fits bool) {
 	lastRun := uint32(0)
 	for _, t := range s.tasks {
@@ -245,19 +246,51 @@
 	if s.def.GetSameRack() {
 		racks = append(racksOf(candidates), "")
 	}
+	var reserved []*candidate
+	best, fewest := "", len(s.tasks)+1
 	for _, rack := range racks {
-		reserved := e.reserveGang(s, candidates, rack, now)
-		if reserved == nil {
+		if reserved = e.reserveGang(s, candidates, rack, now); reserved == nil {
 			continue
 		}
-		checkpoint := s.tasks[0].checkpoint
-		for i, t := range s.tasks {
-			t.checkpoint = checkpoint
-			e.addRun(t, reserved[i], lastRun+1, now)
+		avoided := s.countAvoided(reserved)
+		if avoided == 0 {
+			break
+		}
+		if avoided < fewest {
+			best, fewest = rack, avoided
 		}
-		return true
+		s.releaseAll(reserved)
+		reserved = nil
+	}
+	if reserved == nil && fewest <= len(s.tasks) {
+		reserved = e.reserveGang(s, candidates, best, now)
+	}
+	if reserved == nil {
+		return false
+	}
+	checkpoint := s.tasks[0].checkpoint
+	for i, c := range reserved {
+		s.tasks[i].checkpoint = checkpoint
+		e.addRun(s.tasks[i], c, lastRun+1, now)
+	}
+	return true
+}
+
+// countAvoided returns how many tasks of a gang are reserved on candidates that they avoid.
+func (s *step) countAvoided(reserved []*candidate) (n int) {
+	for i, c := range reserved {
+		if s.tasks[i].avoids(c.worker) {
+			n++
+		}
+	}
+	return n
+}
+
+// releaseAll undoes the reservations of tasks of the step.
+func (s *step) releaseAll(reserved []*candidate) {
+	for _, c := range reserved {
+		c.release(s)
 	}
-	return false
 }
 
 // reserveGang reserves resources for each task of a gang and returns the candidate of each. If some
@@ -268,9 +301,7 @@
 	for _, t := range s.tasks {
 		best := e.bestCandidate(t, scored)
 		if best == nil {
-			for _, c := range reserved {
-				c.release(s)
-			}
+			s.releaseAll(reserved)
 			return nil
 		}
 		best.candidate.reserve(s)
--- a/internal/flow/engine/world_test.go
+++ b/internal/flow/engine/world_test.go
@@ -502,6 +502,8 @@
 		s.After = append(s.After, uint32(number))
 	case "gang":
 		s.Gang = true
+	case "same-rack":
+		s.SameRack = true
 	case "lasting":
 		s.Lasting = true
 	case "target":
