cell: do not eject workers for a job that fails on all of them

What has failed was tried again before all other work of its team.

Change: a job that has failed on two workers, and of which no attempt has finished since or goes on elsewhere for twice as long, is at fault. Its failures count against no worker, ejections for them are withdrawn, and its retries wait behind other work. What a worker says of itself counts in any case, and a worker that fails a job which does well elsewhere is ejected as before.

--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -278,6 +278,7 @@
 			delete(o.control.nextPreempt, task)
 		}
 	}
+	o.forgetFailures()
 	removed := 0
 	for id, job := range o.control.state.jobs {
 		if removed < sweepJobsMax && JobDone(job) && now.Sub(endTime(job)) > o.options.Retention {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -104,6 +104,8 @@
 	takenAt        time.Time
 	model          *interfere.Model
 	evictionBudget evictionBudget
+	// failures holds, by job, where its attempts have failed since one finished.
+	failures map[string]*jobFailures
 	// nextPreempt is, for each waiting task, when it may preempt again.
 	nextPreempt map[string]time.Time
 	holds       map[string]capacityHold
@@ -131,7 +133,7 @@
 		commitSignal: make(chan struct{}, 1),
 		control: control{
 			state: state, workers: map[string]*worker{}, queue: newQueue(), reservedByTeam: map[string]driver.Resources{},
-			confirmedAt: journal.ConfirmedAt(), takenAt: time.Now(), model: interfere.New(), overuse: newOveruse(),
+			confirmedAt: journal.ConfirmedAt(), takenAt: time.Now(), model: interfere.New(), overuse: newOveruse(), failures: map[string]*jobFailures{},
 			nextPreempt: map[string]time.Time{}, holds: map[string]capacityHold{},
 		},
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -70,7 +70,7 @@
 	a := &assignment{
 		task: jt.task.GetId(), attempt: jt.task.GetAttempt() + 1, class: jt.task.GetClass(),
 		reserved: p.need, checkpoint: jt.task.GetCheckpoint(), commandPending: true, incarnation: w.Incarnation,
-		urgency: jt.job.GetUrgency(),
+		urgency: jt.job.GetUrgency(), placedAt: time.Now(),
 	}
 	if !o.record(placedRecord(&cellpb.Placed{Task: a.task, Attempt: a.attempt, Worker: w.Name, Reserved: resourcesMessage(p.need)}),
 		func() { o.start(w, a, jt) }) {
@@ -137,7 +137,7 @@
 		now := time.Now()
 		w.backoffUntil = now.Add(refusalBackoff)
 		if reply.GetReason() == peerpb.Reason_REASON_WORKER_FAILED {
-			o.countFailure(w, now)
+			o.countFailure(w, "", now)
 		}
 		o.endAttempt(w, a.task, a.attempt, cellpb.Ending_ENDING_NOT_STARTED, "", "refused: "+reply.GetReason().String(), now)
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -156,42 +156,22 @@
 		return
 	}
 	w.pendingEnds[key] = true
+	began := time.Time{}
 	if a := w.assigned[task]; a != nil && a.attempt == attempt {
+		began = a.placedAt
 		o.removeReserved(jt.job.GetTeam(), a.reserved)
 		w.unassign(task)
 	}
-	o.updateWorkerHealth(w, ending, now)
+	o.updateWorkerHealth(w, jt.job.GetId(), ending, began, now)
 	o.options.Metrics.TaskEndings.WithLabelValues(ending.String()).Inc()
 	o.log.Info("attempt ended", "task", task, "attempt", attempt, "worker", w.Name, "ending", ending.String(), "phase", jt.task.GetPhase().String(), "checkpoint", jt.task.GetCheckpoint(), "detail", detail)
 	if jt.task.GetPhase() == cellpb.Phase_PHASE_WAITING {
-		o.control.queue.push(jt.job.GetUrgency(), jt.job.GetTeam(), task, true)
+		// What fails wherever it runs waits behind the work that has not had its turn.
+		o.control.queue.push(jt.job.GetUrgency(), jt.job.GetTeam(), task, !o.atFault(jt.job.GetId(), now))
 	}
 	o.control.placementDue = true
 }
 
-// updateWorkerHealth ejects a worker after several consecutive failures.
-func (o *Owner) updateWorkerHealth(w *worker, ending cellpb.Ending, now time.Time) {
-	switch ending {
-	case cellpb.Ending_ENDING_FINISHED:
-		w.consecutiveFailures, w.ejections = 0, 0
-	case cellpb.Ending_ENDING_FAILED:
-		o.countFailure(w, now)
-	}
-}
-
-func (o *Owner) countFailure(w *worker, now time.Time) {
-	w.consecutiveFailures++
-	if w.consecutiveFailures < ejectFailures {
-		return
-	}
-	delay := min(ejectMin<<min(w.ejections, 8), ejectMax)
-	// A single failure after the ejection has ended ejects the worker again.
-	w.consecutiveFailures = ejectFailures - 1
-	w.ejections++
-	w.ejectedUntil = now.Add(delay)
-	o.log.Warn("worker ejected: it fails the tasks that it starts", "worker", w.Name, "seconds", delay.Seconds())
-}
-
 // markLost ends all attempts on a worker whose grant has expired by any clock, so that they cannot
 // be running.
 func (o *Owner) markLost(w *worker, now time.Time) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -10,9 +10,6 @@
 
 // Limits and delays for workers that fail or refuse attempts, and for stop commands.
 const (
-	ejectFailures     = 3
-	ejectMin          = 20 * time.Second
-	ejectMax          = 10 * time.Minute
 	refusalBackoff    = time.Second
 	stopRetryInterval = 500 * time.Millisecond
 	// absentReportsMin is the number of consecutive full reports that must omit an attempt before
@@ -36,24 +33,26 @@
 	lastReport time.Time
 	// grantEnd is when the worker's grant has expired by any clock, unless a further report renews
 	// it.
-	grantEnd            time.Time
-	term                uint64
-	lost                bool
-	draining            bool
-	rebuilding          bool
-	backoffUntil        time.Time
-	nextThrottle        time.Time
-	consecutiveFailures int
-	ejections           int
-	ejectedUntil        time.Time
-	assigned            map[string]*assignment
-	toAcknowledge       map[string]*peerpb.TaskKey
-	pendingEnds         map[string]bool
-	pressures           []*peerpb.Pressure
-	interferenceState   *interfere.Worker
-	throttled           map[string]bool
-	evictPressureSince  time.Time
-	lowPressureSince    time.Time
+	grantEnd     time.Time
+	term         uint64
+	lost         bool
+	draining     bool
+	rebuilding   bool
+	backoffUntil time.Time
+	nextThrottle time.Time
+	// failedJobs are the jobs of the last failures in a row, ejectedFor those that led to the last ejection.
+	failedJobs         []string
+	ejectedFor         []string
+	ejections          int
+	ejectedUntil       time.Time
+	assigned           map[string]*assignment
+	toAcknowledge      map[string]*peerpb.TaskKey
+	pendingEnds        map[string]bool
+	pressures          []*peerpb.Pressure
+	interferenceState  *interfere.Worker
+	throttled          map[string]bool
+	evictPressureSince time.Time
+	lowPressureSince   time.Time
 	// services maps each service on the worker to its slots; it is nil until the first report.
 	services map[string]serviceUsage
 	// yielding is set while the worker yields to tasks, and yieldAnnounced once its agent has
@@ -76,6 +75,8 @@
 	urgency    int32
 	reserved   driver.Resources
 	checkpoint string
+	// placedAt is zero if an earlier owner placed the attempt.
+	placedAt time.Time
 	// commandPending is set while a start or stop command for the attempt is in flight.
 	commandPending bool
 	// incarnation is the agent's incarnation at the time of placement.
