engine: judge stalls by step or runner, and blame a step only if none of its runs goes on

Change: stalls are judged like failures. The runs of a step that stalls wherever it runs may report no progress for twice as long, up to 64 times.

--- a/internal/flow/engine/attribution.go
+++ b/internal/flow/engine/attribution.go
@@ -5,26 +5,28 @@
 	"time"
 )
 
-// A run that fails is evidence against its runner or against its own step. A step whose runs fail
-// wherever they start says nothing about its runners, and a runner that completes other work meanwhile
-// is not at fault.
+// A run that fails or stalls is evidence against its runner or against its own step. A step whose runs
+// fail wherever they start says nothing about its runners, and a runner that completes other work
+// meanwhile is not at fault. Runs also count as stalled if their step takes far longer than declared.
 const (
 	// incriminatingNodes is the number of nodes on which a step has to fail to be at fault itself.
 	incriminatingNodes = 2
-	// minDoingWell is the least time for which a run has to go on to show that its step does well. It
-	// covers the delay of reports.
-	minDoingWell = 250 * time.Millisecond
+	// outlastMargin is how much longer than those that failed a run has to go on to show that its step does
+	// well. It covers the delay of reports.
+	outlastMargin = 500 * time.Millisecond
 	// maxEvidence bounds the evidence that is kept against a runner.
 	maxEvidence = 16
 )
 
-// failureRecord records where runs of a step have failed since the step last did well.
+// failureRecord records where runs of a step have failed, or stalled, since the step last did well.
 type failureRecord struct {
 	// count is the number of failures, the last of which was at lastAt by node.
 	count  int
 	lastAt map[string]time.Duration
 	// longest is the longest time that one of these runs took to fail.
 	longest time.Duration
+	// unanimous is set once runs have failed on several nodes and none goes on elsewhere.
+	unanimous bool
 	// contradicted is set if a runner has completed other work after a run of the step had failed there.
 	contradicted bool
 }
@@ -49,30 +51,48 @@
 
 // everywhere reports whether the step itself is at fault, as far as is known.
 func (f *failureRecord) everywhere() bool {
-	return len(f.lastAt) >= incriminatingNodes || f.contradicted && f.count > 1
+	return f.unanimous || f.contradicted && f.count > 1
 }
 
-// evidence is a failed run of a step. It counts against its runner, unless the step is at fault.
+// evidence is a failed or stalled run of a step. It counts against its runner, unless the step is at
+// fault.
 type evidence struct {
-	step *step
+	step    *step
+	stalled bool
+}
+
+// record returns the failures, or the stalls, of the step.
+func (v evidence) record() *failureRecord {
+	if v.stalled {
+		return &v.step.stalls
+	}
+	return &v.step.failures
 }
 
 // weighs reports whether the evidence counts against the runner.
-func (v evidence) weighs() bool { return !v.step.failures.everywhere() }
+func (v evidence) weighs() bool { return !v.record().everywhere() }
 
-// incriminates reports whether evidence suffices to eject a runner: enough failures, of several jobs.
+// incriminates reports whether evidence suffices to eject a runner: enough failures, of several jobs, or
+// enough stalls.
 func incriminates(list []evidence) bool {
-	failed := 0
+	failed, stalled := 0, 0
 	jobs := map[string]bool{}
 	for _, v := range list {
-		if v.weighs() {
+		switch {
+		case !v.weighs():
+		case v.stalled:
+			stalled++
+		default:
 			failed++
 			jobs[v.step.job().id()] = true
 		}
 	}
-	return failed >= ejectFailures && len(jobs) >= ejectJobs
+	return stalled >= ejectStalledRuns || failed >= ejectFailures && len(jobs) >= ejectJobs
 }
 
+// atFault reports whether runs of the step fail or stall wherever they start.
+func (s *step) atFault() bool { return s.failures.everywhere() || s.stalls.everywhere() }
+
 // appendEvidence appends to a list that is bounded. Evidence that does not count makes room first.
 func appendEvidence(list []evidence, v evidence) []evidence {
 	if len(list) >= maxEvidence {
@@ -104,23 +124,78 @@
 	t.failedAt, t.notBefore = now, now+retryDelay(t.failuresInRow)
 	t.avoid(w)
 	wasEverywhere := s.failures.everywhere()
-	s.failures.add(w.node, now-r.startedAt, now)
+	e.addToRecord(evidence{step: s}, r, now)
 	if w.health.recordFailure(s, now) {
 		e.logEjection(w, "runs failed")
 	}
 	if !wasEverywhere && s.failures.everywhere() {
-		e.withdrawEjections(s, now)
+		e.withdrawEjections(evidence{step: s}, now)
+	}
+}
+
+// addToRecord adds a failed or stalled run to the record of its step.
+func (e *Engine) addToRecord(v evidence, r *run, now time.Duration) {
+	f := v.record()
+	f.add(r.worker.node, now-r.startedAt, now)
+	f.unanimous = f.unanimous || len(f.lastAt) >= incriminatingNodes && !e.goesOnElsewhere(v, now)
+}
+
+// goesOnElsewhere reports whether a run of the step goes on where none has failed or stalled, and did not
+// just begin.
+func (e *Engine) goesOnElsewhere(v evidence, now time.Duration) bool {
+	f := v.record()
+	for _, t := range v.step.tasks {
+		for _, r := range t.runs {
+			if _, failed := f.lastAt[r.worker.node]; failed || r.phase != phaseRunning {
+				continue
+			}
+			if v.stalled && e.moves(r) || !v.stalled && 2*(now-r.startedAt) >= f.longest {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// moves reports whether a run has reported progress of late.
+func (e *Engine) moves(r *run) bool {
+	return r.progressPercent > 0 && r.worker.reportedAt-r.progressedAt <= e.stallTimeout(r)
+}
+
+// outlasted reports whether a run of the given age has gone on for clearly longer than those that failed.
+func (f *failureRecord) outlasted(age time.Duration) bool {
+	return age > f.longest+outlastMargin
+}
+
+// recordStall records a run that has stalled against its task and its step. The next runs of a step that
+// stalls wherever it runs may report no progress for longer, since its duration was declared too short.
+func (e *Engine) recordStall(r *run, now time.Duration) evidence {
+	t, s, w := r.task, r.task.step, r.worker
+	v := evidence{step: s, stalled: true}
+	t.avoid(w)
+	wasEverywhere := s.stalls.everywhere()
+	e.addToRecord(v, r, now)
+	if !s.stalls.everywhere() {
+		return v
+	}
+	if !wasEverywhere {
+		e.withdrawEjections(v, now)
 	}
+	if r.startedAt >= s.patienceRaisedAt && s.patience < maxStallPatience {
+		s.patience, s.patienceRaisedAt = s.patience+1, now
+		e.options.Log.Info("runs of a step may report no progress for longer", "step", s.name(), "times", 1<<s.patience)
+	}
+	return v
 }
 
 // recordSuccess records a completed run. The failures of other work that it contradicts count against
 // their steps from now on.
 func (e *Engine) recordSuccess(r *run, now time.Duration) {
 	s, w := r.task.step, r.worker
-	s.failures = failureRecord{}
+	s.failures, s.stalls = failureRecord{}, failureRecord{}
 	for _, v := range slices.Concat(w.health.failed, w.health.grounds) {
 		if v.step != s {
-			v.step.failures.contradict(w.node, r.startedAt)
+			v.record().contradict(w.node, r.startedAt)
 		}
 	}
 	w.health.recordSuccess()
@@ -130,9 +205,12 @@
 func (e *Engine) observeRun(r *run, now time.Duration) {
 	t, s := r.task, r.task.step
 	age := now - r.startedAt
-	if !s.failures.empty() && age > max(2*s.failures.longest, minDoingWell) {
+	if !s.failures.empty() && s.failures.outlasted(age) {
 		s.failures = failureRecord{}
 	}
+	if !s.stalls.empty() && r.progressPercent > 0 && r.progressedAt == now {
+		s.stalls = failureRecord{}
+	}
 	if t.failuresInRow > 0 && s.def.GetLasting() && r.progressPercent >= fullPace && age >= probeTime {
 		t.failuresInRow = 0
 	}
@@ -140,12 +218,12 @@
 
 // withdrawEjections ends the ejections that rest on the runs of a step which turns out to be at fault
 // itself.
-func (e *Engine) withdrawEjections(s *step, now time.Duration) {
-	f := &s.failures
-	e.options.Log.Warn("step fails wherever it runs", "step", s.name(), "failures", f.count, "nodes", len(f.lastAt), "runners-do-other-work", f.contradicted)
+func (e *Engine) withdrawEjections(v evidence, now time.Duration) {
+	f, step := v.record(), v.step.name()
+	e.options.Log.Warn("step fails wherever it runs", "step", step, "stalled", v.stalled, "failures", f.count, "nodes", len(f.lastAt), "runners-do-other-work", f.contradicted)
 	for _, w := range e.sortedWorkers() {
-		if w.health.reconsider(now) {
-			e.options.Log.Info("ejection of a runner withdrawn", "node", w.node, "step", s.name())
+		if w.health.reconsider() {
+			e.options.Log.Info("ejection of a runner withdrawn", "node", w.node, "step", step)
 		}
 	}
 }
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -380,8 +380,8 @@
 	Jobs, Open, Workers, Synced, Runs, Places int
 	// EvacuatedDataCentres counts the data centres that are evacuated, EvacuatedRuns the runs that are left there.
 	EvacuatedDataCentres, EvacuatedRuns int
-	// Ejected counts the workers whose runner is ejected or probed, FailingSteps the steps of open jobs that fail wherever
-	// they run.
+	// Ejected counts the workers whose runner is ejected or probed, FailingSteps the steps of open jobs that fail or stall
+	// wherever they run.
 	Ejected, FailingSteps int
 }
 
@@ -404,7 +404,7 @@
 	for _, j := range e.openJobs {
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
-				if step.failures.everywhere() {
+				if step.atFault() {
 					s.FailingSteps++
 				}
 			}
--- a/internal/flow/engine/fault_test.go
+++ b/internal/flow/engine/fault_test.go
@@ -27,9 +27,10 @@
 	lastingGap = 6 * time.Second
 )
 
-// TestFailingWorkHoldsUpNoOther draws jobs that can be done beside jobs that can't, on runners that fail all their tasks for
-// a time and under owners that are lost. It guards against failures that count against the runner though the job is at
-// fault, and against retries that keep other work from its turn, as in review/12. It also guards against a job that is shown as
+// TestFailingWorkHoldsUpNoOther draws jobs that can be done beside jobs that can't or that take far longer than declared, on
+// runners that fail or stall all their tasks for a time and under owners that are lost. It guards against failures and stalls
+// that count against the runner though the job is at fault, and against retries that keep other work from its turn, as in
+// review/11 and 12. It also guards against a job that is shown as
 // failed before its task or gang has failed as often as its queue allows, or that goes on after that, as in review/14.
 func TestFailingWorkHoldsUpNoOther(t *testing.T) {
 	setFlagDefault(t, "rapid.checks", faultSchedules)
@@ -81,9 +82,11 @@
 
 // faultKinds are the kinds of jobs and how their runs end. Those of some kinds end only when they are stopped.
 var faultKinds = map[string]behaviour{
-	"sound":           {kind: "done", after: 400 * time.Millisecond},
-	"sound-gang":      {kind: "done", after: 400 * time.Millisecond},
-	"lasting":         {kind: "done", after: time.Hour},
+	"sound":      {kind: "done", after: 400 * time.Millisecond},
+	"sound-gang": {kind: "done", after: 400 * time.Millisecond},
+	"lasting":    {kind: "done", after: time.Hour},
+	// Its tasks take far longer than declared, so that their reported progress stands still for seconds.
+	"sound-long":      {kind: "done", after: 300 * time.Second},
 	"hopeless":        {kind: "failed", after: 100 * time.Millisecond},
 	"hopeless-gang":   {kind: "failed", after: 100 * time.Millisecond},
 	"lasting-failing": {kind: "failed", after: 150 * time.Millisecond},
@@ -129,7 +132,7 @@
 	w.commitAll()
 }
 
-// drawFault lets a runner fail all its tasks, or recover.
+// drawFault lets a runner fail all its tasks, or make no progress with any, or recover.
 func (w *faultWorld) drawFault(t *rapid.T) {
 	node := rapid.SampledFrom(rebuildNodes).Draw(t, "node")
 	if w.failing[node] {
@@ -137,7 +140,8 @@
 		return
 	}
 	w.disruptedAt, w.failing[node] = w.now.Monotonic, true
-	w.behaviours = append(w.behaviours, behaviour{node: node, kind: "failed", after: testTick})
+	kind := rapid.SampledFrom([]string{"failed", ""}).Draw(t, "kind")
+	w.behaviours = append(w.behaviours, behaviour{node: node, kind: kind, after: testTick})
 }
 
 // heal lets a runner fail no more tasks.
--- a/internal/flow/engine/health.go
+++ b/internal/flow/engine/health.go
@@ -1,9 +1,6 @@
 package engine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Ejection covers runners that fail, stall or slow down all their tasks while their reports look
 // healthy. After consecutive failures of tasks of different jobs, a runner gets no new tasks for a
@@ -33,10 +30,10 @@
 	// probing is set until a run succeeds after an ejection. Meanwhile the runner gets one task at a
 	// time as a probe, and a failure ejects it again.
 	probing bool
-	// grounds are the runs that led to the last ejection. There are none if the ejection does not rest on
-	// runs. renewed is set if that ejection followed a failed probe.
-	grounds []evidence
-	renewed bool
+	// grounds are the runs that led to the ejections since a run succeeded. reported is set if one of these
+	// ejections rests on something else, such as what the runner says of itself.
+	grounds  []evidence
+	reported bool
 }
 
 // recordFailure records a failed run of a step. It ejects the runner if too many count against it, and
@@ -59,26 +56,21 @@
 	}
 	h.ejectionTime = min(max(2*h.ejectionTime, minEjectionTime), maxEjectionTime)
 	h.ejectedUntil = now + h.ejectionTime
-	h.probing, h.renewed = true, h.probing
-	h.failed, h.grounds = nil, grounds
+	h.probing, h.failed = true, nil
+	h.reported = h.reported || len(grounds) == 0
+	for _, v := range grounds {
+		h.grounds = appendEvidence(h.grounds, v)
+	}
 	return true
 }
 
-// reconsider withdraws an ejection whose grounds do not count any more, and then returns true.
-func (h *health) reconsider(now time.Duration) (withdrawn bool) {
-	switch {
-	case !h.probing || len(h.grounds) == 0:
-		return false
-	case h.renewed:
-		if now >= h.ejectedUntil || slices.ContainsFunc(h.grounds, evidence.weighs) {
-			return false
-		}
-		h.ejectedUntil, h.grounds = now, nil
-	case incriminates(h.grounds):
+// reconsider withdraws the ejections if their grounds do not suffice any more, and then returns true. The
+// runs still count if their steps turn out to do well.
+func (h *health) reconsider() (withdrawn bool) {
+	if !h.probing || h.reported || incriminates(h.grounds) {
 		return false
-	default:
-		*h = health{}
 	}
+	*h = health{failed: h.grounds}
 	return true
 }
 
@@ -97,7 +89,7 @@
 		return true
 	}
 	for _, r := range runs {
-		if (r.phase != phaseRunning || now-r.startedAt < probeTime) && !r.task.step.failures.everywhere() {
+		if (r.phase != phaseRunning || now-r.startedAt < probeTime) && !r.task.step.atFault() {
 			return false
 		}
 	}
--- a/internal/flow/engine/model.go
+++ b/internal/flow/engine/model.go
@@ -157,7 +157,12 @@
 	movedForAt time.Duration
 	// baseline is the headroom of the step's tasks without best-effort tasks beside them.
 	baseline baseHeadroom
-	failures failureRecord
+	// failures and stalls tell where its runs have failed and stalled.
+	failures, stalls failureRecord
+	// patience doubles, that many times, the time for which its runs may report no progress. It was last
+	// raised at patienceRaisedAt.
+	patience         int
+	patienceRaisedAt time.Duration
 }
 
 // ticket allows starts on one incarnation of a runner until it expires.
--- a/internal/flow/engine/straggle.go
+++ b/internal/flow/engine/straggle.go
@@ -17,6 +17,8 @@
 	// percent, long runs are given stallTimeoutShare of their expected duration instead.
 	stallTimeout      = 1500 * time.Millisecond
 	stallTimeoutShare = 0.06
+	// maxStallPatience is how often that time may double for a step that stalls wherever it runs.
+	maxStallPatience = 6
 	// ejectStalledRuns is the number of runs stalled at the same time at which their runner is
 	// ejected.
 	ejectStalledRuns = 2
@@ -56,6 +58,12 @@
 	return saturate.Of(e.estimates.expectedMillis(s.job().queue.Name, estimateMillis(s.def)), time.Millisecond)
 }
 
+// stallTimeout returns how long a run may report no progress.
+func (e *Engine) stallTimeout(r *run) time.Duration {
+	timeout := max(stallTimeout, time.Duration(stallTimeoutShare*float64(e.expectedDuration(r))))
+	return saturate.Of(float64(timeout)*float64(int(1)<<r.task.step.patience), time.Nanosecond)
+}
+
 // handleStragglers stops stalled runs, starts speculative copies of late ones and ejects runners
 // with stalled or slow runs, once per stragglerInterval.
 func (e *Engine) handleStragglers(now time.Duration) {
@@ -67,22 +75,20 @@
 		if !w.connected || !w.synced || now-w.reportedAt > maxReportAge {
 			continue
 		}
-		stalled := 0
+		var stalled []evidence
 		for _, r := range w.runs.list {
 			if r.phase != phaseRunning || r.task.step.def.GetLasting() || r.pace < fullPace {
 				continue
 			}
-			if w.reportedAt-r.progressedAt > max(stallTimeout, time.Duration(stallTimeoutShare*float64(e.expectedDuration(r)))) {
-				stalled++
-				r.task.avoid(w)
+			if w.reportedAt-r.progressedAt > e.stallTimeout(r) {
+				stalled = append(stalled, e.recordStall(r, now))
 				e.stopRun(r, now, "stalled")
 			} else if r.task.step.def.GetSpeculative() && now >= w.health.ejectedUntil {
 				e.speculate(r, now)
 			}
 		}
-		if stalled >= ejectStalledRuns {
-			e.options.Log.Warn("runner ejected", "node", w.node, "reason", "runs stalled", "runs", stalled)
-			w.health.eject(now, nil)
+		if incriminates(stalled) && w.health.eject(now, stalled) {
+			e.logEjection(w, "runs stalled")
 		}
 		if w.speed.slow() {
 			e.options.Log.Warn("runner ejected", "node", w.node, "reason", "runs are slow", "times", math.Exp(w.speed.meanLog), "runs", w.speed.runs)
