--- a/internal/flow/engine/attribution.go
+++ b/internal/flow/engine/attribution.go
@@ -111,10 +111,10 @@
 	return min(delay, maxFailureRetryDelay)
 }
 
-// yields reports whether the next start of a task comes after that of all other work, since the task
-// keeps failing. It does not wait longer than maxYieldTime, so that it is also started where the fleet is full.
-func (t *task) yields(now time.Duration) bool {
-	return t.failuresInRow >= ejectFailures && now-t.failedAt < maxYieldTime
+// isDeferred reports whether the next start of a task comes after that of all other work, since the task
+// keeps failing. It does not wait longer than maxDeferral, so that it is also started where the fleet is full.
+func (t *task) isDeferred(now time.Duration) bool {
+	return t.failuresInRow >= ejectFailures && now-t.failedAt < maxDeferral
 }
 
 // recordFailure records a failed run against its task, its step and its runner.
--- a/internal/flow/engine/engine.go
+++ b/internal/flow/engine/engine.go
@@ -26,9 +26,9 @@
 	// further failure in a row up to maxFailureRetryDelay.
 	failureRetryDelay    = 20 * time.Millisecond
 	maxFailureRetryDelay = 4 * time.Second
-	// maxYieldTime is how long after its last failure the next start of a task that keeps failing comes
+	// maxDeferral is how long after its last failure the next start of a task that keeps failing comes
 	// after all other work. The platform asks that long-running tasks are started again from then on.
-	maxYieldTime = 6 * time.Second
+	maxDeferral = 6 * time.Second
 	// expireInterval is how often ended jobs are checked against Options.Retention.
 	expireInterval = time.Second
 )
--- a/internal/flow/engine/place.go
+++ b/internal/flow/engine/place.go
@@ -101,9 +101,9 @@
 	if !s.failures.empty() {
 		offered = slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.worker.health.probing })
 	}
-	fits, yielding := e.placeTasks(s, offered, false, now)
+	fits, deferred := e.placeTasks(s, offered, false, now)
 	if fits || len(offered) < len(candidates) {
-		return yielding || !fits
+		return deferred || !fits
 	}
 	e.makeRoom(p, now)
 	if p.LongRunning && !s.def.GetGang() {
@@ -127,12 +127,12 @@
 	}
 }
 
-// placeTasks places the pending tasks of a step, either those that yield to other work or those that do
+// placeTasks places the pending tasks of a step, either those that are deferred or those that are
 // not, until one fits on no candidate. It reports whether all fitted, and whether there are tasks of the
 // other kind.
-func (e *Engine) placeTasks(s *step, candidates []*candidate, yielding bool, now time.Duration) (fits, others bool) {
+func (e *Engine) placeTasks(s *step, candidates []*candidate, deferred bool, now time.Duration) (fits, others bool) {
 	if s.def.GetGang() {
-		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.yields(now) }) != yielding {
+		if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.isDeferred(now) }) != deferred {
 			return true, true
 		}
 		return e.placeGang(s, candidates, now), false
@@ -143,7 +143,7 @@
 		if !t.pending(now) {
 			continue
 		}
-		if t.yields(now) != yielding {
+		if t.isDeferred(now) != deferred {
 			others = true
 			continue
 		}
